--- /dev/null
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/AccountCommand.java
@@ -0,0 +1,98 @@
+package org.toucanlane.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.toucanlane.coordination.share.HostShare;
+import org.toucanlane.coordination.store.StoreException;
+import org.toucanlane.domain.account.ClientAccount;
+import org.toucanlane.domain.configuration.FleetConfiguration;
+import org.toucanlane.domain.configuration.InvalidConfigurationException;
+import org.toucanlane.domain.configuration.NearestName;
+import org.toucanlane.platform.store.HttpKeyValueStore;
+
+/** Lists client accounts, or shows one with the holders of its limit. */
+@Parameters(commandDescription = "list | show NAME: client accounts in force")
+final class AccountCommand implements Command {
+
+    @Parameter(description = "list | show NAME", required = true)
+    private List<String> words = new ArrayList<>();
+
+    @Override
+    public ExitCode run(GlobalOptions options, Output out)
+            throws CommandFailedException, IOException, StoreException, InvalidConfigurationException {
+        try (HttpKeyValueStore store = options.openStore()) {
+            FleetConfiguration current = FleetConfiguration.assemble(
+                    options.publisher(store).current().documents().values());
+            if (words.equals(List.of("list"))) {
+                list(options, out, current);
+            } else if (words.size() == 2 && words.get(0).equals("show")) {
+                show(options, out, current, words.get(1));
+            } else {
+                throw new CommandFailedException(ExitCode.USAGE, "account takes \"list\" or \"show NAME\"");
+            }
+            return ExitCode.DONE;
+        }
+    }
+
+    private static void list(GlobalOptions options, Output out, FleetConfiguration current) throws IOException {
+        if (options.isJson()) {
+            out.json(current.accounts().values());
+            return;
+        }
+        out.table(
+                List.of("ACCOUNT", "TOKENS/S", "BURST", "WEIGHT", "RUNS IN"),
+                current.accounts().values().stream().map(AccountCommand::row).toList());
+    }
+
+    private static List<String> row(ClientAccount account) {
+        return List.of(
+                account.name(),
+                Long.toString(account.tokensPerSecond()),
+                Long.toString(account.burstTokens()),
+                Integer.toString(account.weight()),
+                String.join(" ", account.allowedDataCentres().stream().sorted().toList()));
+    }
+
+    private static void show(GlobalOptions options, Output out, FleetConfiguration current, String name)
+            throws IOException, CommandFailedException {
+        ClientAccount account = current.accounts().get(name);
+        if (account == null) {
+            String hint = NearestName.of(name, current.accounts().keySet())
+                    .map(nearest -> ", did you mean \"" + nearest + "\"?")
+                    .orElse("");
+            throw new CommandFailedException(ExitCode.USAGE, "no account \"" + name + '"' + hint);
+        }
+        List<HostShare> holders = current.shareHolders().get(name);
+        List<String> keys = current.keys().values().stream()
+                .filter(key -> key.account().equals(name))
+                .map(key -> key.id())
+                .sorted()
+                .toList();
+        if (options.isJson()) {
+            Map<String, Object> all = new TreeMap<>();
+            all.put("account", account);
+            all.put("holders", holders);
+            all.put("keys", keys);
+            out.json(all);
+            return;
+        }
+        out.table(List.of("ACCOUNT", "TOKENS/S", "BURST", "WEIGHT", "RUNS IN"), List.of(row(account)));
+        out.line("");
+        out.table(
+                List.of("SHARE HELD BY", "DATA CENTRE", "TOKENS/S", "BURST"),
+                holders.stream()
+                        .map(share -> List.of(
+                                share.host(),
+                                share.dataCentre(),
+                                Long.toString(share.limit().tokensPerSecond()),
+                                Long.toString(share.limit().burstTokens())))
+                        .toList());
+        out.line("");
+        out.line("keys: " + String.join(" ", keys));
+    }
+}
--- /dev/null
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/CommandFailedException.java
@@ -0,0 +1,18 @@
+package org.toucanlane.cli;
+
+/** Thrown when a command can't be carried out; decides the exit code. */
+final class CommandFailedException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    private final ExitCode exitCode;
+
+    CommandFailedException(ExitCode exitCode, String message) {
+        super(message);
+        this.exitCode = exitCode;
+    }
+
+    ExitCode exitCode() {
+        return exitCode;
+    }
+}
--- /dev/null
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/CompletionCommand.java
@@ -0,0 +1,23 @@
+package org.toucanlane.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Prints a completion script. */
+@Parameters(commandDescription = "bash: print a completion script to be sourced")
+final class CompletionCommand implements Command {
+
+    @Parameter(description = "bash", required = true)
+    private List<String> words = new ArrayList<>();
+
+    @Override
+    public ExitCode run(GlobalOptions options, Output out) throws CommandFailedException {
+        if (!words.equals(List.of("bash"))) {
+            throw new CommandFailedException(ExitCode.USAGE, "completion takes \"bash\"");
+        }
+        out.line("complete -o default -W \"" + String.join(" ", Main.commandNames()) + "\" toucanlane");
+        return ExitCode.DONE;
+    }
+}
--- /dev/null
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/GlobalOptions.java
@@ -0,0 +1,80 @@
+package org.toucanlane.cli;
+
+import com.beust.jcommander.Parameter;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.toucanlane.platform.publish.Publisher;
+import org.toucanlane.platform.store.HttpKeyValueStore;
+
+/** Options that all commands share. */
+final class GlobalOptions {
+
+    private static final Duration STORE_TIMEOUT = Duration.ofSeconds(5);
+
+    @Parameter(
+            names = "--store",
+            description = "base address of the platform's key-value service (or TOUCANLANE_STORE)")
+    private String store = System.getenv("TOUCANLANE_STORE");
+
+    @Parameter(
+            names = "--admin",
+            description = "admin address of a host; may be repeated (or TOUCANLANE_ADMIN, with commas)")
+    private List<String> admin = new ArrayList<>();
+
+    @Parameter(names = "--json", description = "print JSON for machines")
+    private boolean json;
+
+    @Parameter(names = "--help", help = true, description = "print this help")
+    private boolean help;
+
+    @Parameter(names = "--version", help = true, description = "print the version")
+    private boolean version;
+
+    boolean isHelp() {
+        return help;
+    }
+
+    boolean isVersion() {
+        return version;
+    }
+
+    boolean isJson() {
+        return json;
+    }
+
+    HttpKeyValueStore openStore() throws CommandFailedException {
+        if (store == null || store.isBlank()) {
+            throw new CommandFailedException(ExitCode.USAGE, "no store: give --store URL or set TOUCANLANE_STORE");
+        }
+        return HttpKeyValueStore.at(toUri(store), STORE_TIMEOUT);
+    }
+
+    Publisher publisher(HttpKeyValueStore opened) {
+        return new Publisher(opened);
+    }
+
+    List<URI> adminAddresses() throws CommandFailedException {
+        List<String> texts = admin;
+        if (texts.isEmpty()) {
+            texts = Optional.ofNullable(System.getenv("TOUCANLANE_ADMIN"))
+                    .map(value -> List.of(value.split(",")))
+                    .orElse(List.of());
+        }
+        List<URI> addresses = new ArrayList<>();
+        for (String text : texts) {
+            addresses.add(toUri(text));
+        }
+        return addresses;
+    }
+
+    private static URI toUri(String text) throws CommandFailedException {
+        try {
+            return URI.create(text.strip());
+        } catch (IllegalArgumentException e) {
+            throw new CommandFailedException(ExitCode.USAGE, "not an address: " + text);
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/KeyCommand.java
@@ -0,0 +1,155 @@
+package org.toucanlane.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import org.toucanlane.domain.account.KeyHasher;
+import org.toucanlane.domain.configuration.InvalidConfigurationException;
+import org.toucanlane.domain.configuration.ServiceDocument;
+
+/**
+ * Issues, withdraws and lists keys in operators' files; publishing puts the change into force.
+ *
+ * <p>A key's text is printed once, when it is issued; only its keyed hash is written.
+ */
+@Parameters(commandDescription = "issue | withdraw ID | list: keys in the files of FOLDER; publish to put into force")
+final class KeyCommand implements Command {
+
+    private static final ObjectMapper JSON =
+            JsonMapper.builder().enable(SerializationFeature.INDENT_OUTPUT).build();
+
+    @Parameter(description = "issue FOLDER... | withdraw ID FOLDER... | list FOLDER...", required = true)
+    private List<String> words = new ArrayList<>();
+
+    @Parameter(names = "--account", description = "account that a new key belongs to")
+    private String account;
+
+    @Parameter(names = "--secret-file", description = "file with the secret under which keys are hashed")
+    private String secretFile = System.getenv("TOUCANLANE_KEY_SECRET_FILE");
+
+    @Override
+    public ExitCode run(GlobalOptions options, Output out)
+            throws CommandFailedException, IOException, InvalidConfigurationException {
+        switch (words.get(0)) {
+            case "issue" -> issue(out, words.subList(1, words.size()));
+            case "withdraw" -> withdraw(out);
+            case "list" -> list(options, out, words.subList(1, words.size()));
+            default -> throw new CommandFailedException(ExitCode.USAGE, "key takes issue, withdraw or list");
+        }
+        return ExitCode.DONE;
+    }
+
+    private void issue(Output out, List<String> folders)
+            throws CommandFailedException, IOException, InvalidConfigurationException {
+        if (account == null) {
+            throw new CommandFailedException(ExitCode.USAGE, "issue needs --account");
+        }
+        KeyHasher hasher = hasher();
+        Path file = fileOf(folders);
+        ObjectNode tree = (ObjectNode) JSON.readTree(Files.readString(file, StandardCharsets.UTF_8));
+        String key = KeyHasher.newKey(new SecureRandom());
+        for (JsonNode entry : tree.path("accounts")) {
+            if (entry.path("name").asText().equals(account)) {
+                ((ObjectNode) entry)
+                        .withArray("keys")
+                        .addObject()
+                        .put("id", KeyHasher.idOf(key).orElseThrow())
+                        .put("hash", hasher.hash(key));
+            }
+        }
+        write(file, tree);
+        out.progress("written to " + file + "; publish it to put the key into force. It is shown only now:");
+        out.line(key);
+    }
+
+    private KeyHasher hasher() throws CommandFailedException, IOException {
+        if (secretFile == null) {
+            throw new CommandFailedException(ExitCode.USAGE, "issue needs --secret-file or TOUCANLANE_KEY_SECRET_FILE");
+        }
+        return KeyHasher.of(
+                Files.readString(Path.of(secretFile), StandardCharsets.UTF_8).strip());
+    }
+
+    private Path fileOf(List<String> folders)
+            throws CommandFailedException, IOException, InvalidConfigurationException {
+        for (Path file : ServiceFiles.find(folders)) {
+            String text = Files.readString(file, StandardCharsets.UTF_8);
+            if (ServiceDocument.parse(file.toString(), text).accountNames().contains(account)) {
+                return file;
+            }
+        }
+        throw new CommandFailedException(ExitCode.USAGE, "no file has the account \"" + account + '"');
+    }
+
+    /** Replaces a file whole, so that a reader or a crash never meets half of it. */
+    private static void write(Path file, ObjectNode tree) throws IOException, InvalidConfigurationException {
+        String text = JSON.writeValueAsString(tree) + '\n';
+        ServiceDocument.parse(file.toString(), text);
+        Path next = file.resolveSibling(file.getFileName() + ".new");
+        Files.writeString(next, text, StandardCharsets.UTF_8);
+        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    private void withdraw(Output out) throws CommandFailedException, IOException, InvalidConfigurationException {
+        if (words.size() < 3) {
+            throw new CommandFailedException(ExitCode.USAGE, "withdraw takes an ID and folders");
+        }
+        String id = words.get(1);
+        for (Path file : ServiceFiles.find(words.subList(2, words.size()))) {
+            ObjectNode tree = (ObjectNode) JSON.readTree(Files.readString(file, StandardCharsets.UTF_8));
+            if (removeKey(tree, id)) {
+                write(file, tree);
+                out.line("key " + id + " is out of " + file + "; publish it to withdraw the key");
+                return;
+            }
+        }
+        throw new CommandFailedException(ExitCode.USAGE, "no file has a key \"" + id + '"');
+    }
+
+    private static boolean removeKey(ObjectNode tree, String id) {
+        boolean removed = false;
+        for (JsonNode entry : tree.path("accounts")) {
+            if (entry.path("keys") instanceof ArrayNode keys) {
+                Iterator<JsonNode> each = keys.elements();
+                while (each.hasNext()) {
+                    if (each.next().path("id").asText().equals(id)) {
+                        each.remove();
+                        removed = true;
+                    }
+                }
+            }
+        }
+        return removed;
+    }
+
+    private static void list(GlobalOptions options, Output out, List<String> folders)
+            throws CommandFailedException, IOException {
+        List<List<String>> rows = new ArrayList<>();
+        for (Path file : ServiceFiles.find(folders)) {
+            JsonNode tree = JSON.readTree(Files.readString(file, StandardCharsets.UTF_8));
+            tree.path("accounts")
+                    .forEach(entry -> entry.path("keys")
+                            .forEach(key -> rows.add(List.of(
+                                    key.path("id").asText(), entry.path("name").asText(), file.toString()))));
+        }
+        if (options.isJson()) {
+            out.json(rows);
+        } else {
+            out.table(List.of("KEY", "ACCOUNT", "FILE"), rows);
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/PublishCommand.java
@@ -0,0 +1,76 @@
+package org.toucanlane.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.toucanlane.coordination.store.StoreException;
+import org.toucanlane.domain.configuration.FleetConfiguration;
+import org.toucanlane.domain.configuration.InvalidConfigurationException;
+import org.toucanlane.domain.configuration.ServiceDocument;
+import org.toucanlane.platform.publish.PublishConflictException;
+import org.toucanlane.platform.publish.Publisher;
+import org.toucanlane.platform.store.HttpKeyValueStore;
+
+/** Puts files into force. */
+@Parameters(commandDescription = "check files, show what changes, and put them into force")
+final class PublishCommand implements Command {
+
+    @Parameter(description = "FOLDER...", required = true)
+    private List<String> folders = new ArrayList<>();
+
+    @Parameter(names = "--remove", description = "name of a file to take out of force; may be repeated")
+    private List<String> removed = new ArrayList<>();
+
+    @Parameter(names = "--wait", description = "wait until every host of the fleet has confirmed; needs --admin")
+    private boolean wait;
+
+    @Parameter(names = "--wait-seconds", description = "longest wait, in seconds")
+    private int waitSeconds = 30;
+
+    @Override
+    public ExitCode run(GlobalOptions options, Output out)
+            throws CommandFailedException, IOException, InterruptedException, StoreException,
+                    InvalidConfigurationException, PublishConflictException {
+        List<ServiceDocument> documents = ServiceFiles.read(folders);
+        List<URI> admins = options.adminAddresses();
+        if (wait && admins.isEmpty()) {
+            throw new CommandFailedException(ExitCode.USAGE, "--wait needs --admin");
+        }
+        try (HttpKeyValueStore store = options.openStore();
+                HostClient hosts = new HostClient()) {
+            Publisher publisher = options.publisher(store);
+            DocumentChange.between(publisher.current(), documents).forEach(change -> out.progress(change.describe()));
+            Publisher.Published published =
+                    publisher.publish(documents, Set.copyOf(removed), hosts.confirmedVersions(admins));
+            report(options, out, published);
+            return wait ? confirm(published, hosts, admins, out) : ExitCode.DONE;
+        }
+    }
+
+    private static void report(GlobalOptions options, Output out, Publisher.Published published) throws IOException {
+        if (options.isJson()) {
+            out.json(Map.of("version", published.revision()));
+        } else {
+            out.line("version " + published.revision() + " is published");
+        }
+    }
+
+    private ExitCode confirm(Publisher.Published published, HostClient hosts, List<URI> admins, Output out)
+            throws InvalidConfigurationException, InterruptedException {
+        Set<String> expected =
+                FleetConfiguration.assemble(published.documents().values()).hosts();
+        Confirmation confirmation = new Confirmation(hosts, admins, out);
+        List<String> missing = confirmation.await(published.revision(), expected, waitSeconds);
+        if (missing.isEmpty()) {
+            out.line("version " + published.revision() + " is in force on all " + expected.size() + " hosts");
+            return ExitCode.DONE;
+        }
+        out.progress("not confirmed by: " + String.join(", ", missing));
+        return ExitCode.UNCONFIRMED;
+    }
+}
--- /dev/null
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/RouteCommand.java
@@ -0,0 +1,68 @@
+package org.toucanlane.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Asks a host where it would run a request, and why. */
+@Parameters(commandDescription = "explain --account A --route R: where a host would run a request; needs --admin")
+final class RouteCommand implements Command {
+
+    @Parameter(description = "explain", required = true)
+    private List<String> words = new ArrayList<>();
+
+    @Parameter(names = "--account", required = true, description = "account that asks")
+    private String account;
+
+    @Parameter(names = "--route", required = true, description = "route that it takes")
+    private String route;
+
+    @Override
+    public ExitCode run(GlobalOptions options, Output out) throws CommandFailedException, IOException {
+        List<URI> admins = options.adminAddresses();
+        if (!words.equals(List.of("explain")) || admins.isEmpty()) {
+            throw new CommandFailedException(ExitCode.USAGE, "route takes \"explain\" and needs --admin");
+        }
+        try (HostClient hosts = new HostClient()) {
+            String query = "account=" + encode(account) + "&route=" + encode(route);
+            JsonNode standings = hosts.explain(admins.get(0), query);
+            if (options.isJson()) {
+                out.json(standings);
+                return ExitCode.DONE;
+            }
+            List<List<String>> rows = new ArrayList<>();
+            standings.forEach(standing -> rows.add(row(standing)));
+            out.table(
+                    List.of("DATA CENTRE", "CHOSEN", "ALLOWED", "REACHABLE", "ENDPOINTS", "LOAD", "WAIT MS", "AWAY MS"),
+                    rows);
+            return ExitCode.DONE;
+        }
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+
+    private static List<String> row(JsonNode standing) {
+        JsonNode view = standing.path("view");
+        return List.of(
+                view.path("name").asText(),
+                standing.path("chosen").asBoolean() ? "yes" : "",
+                view.path("allowed").asText(),
+                view.path("reachable").asText(),
+                view.path("endpoints").asText(),
+                String.format("%.2f", view.path("load").asDouble()),
+                number(standing.path("waitingMillis")),
+                number(standing.path("awayMillis")));
+    }
+
+    private static String number(JsonNode value) {
+        return value.isNumber() ? String.format("%.1f", value.asDouble()) : "-";
+    }
+}
--- /dev/null
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/ServiceFiles.java
@@ -0,0 +1,68 @@
+package org.toucanlane.cli;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.toucanlane.domain.configuration.InvalidConfigurationException;
+import org.toucanlane.domain.configuration.Problem;
+import org.toucanlane.domain.configuration.ServiceDocument;
+
+/** Collects operators' files from folders. Stateless and thread-safe. */
+final class ServiceFiles {
+
+    /** Name of an operator's file beside a service's code. */
+    static final String FILE_NAME = "toucanlane.json";
+
+    private ServiceFiles() {}
+
+    /** Returns the files in the given folders and in their direct subfolders, or the files themselves. */
+    static List<Path> find(List<String> folders) throws IOException, CommandFailedException {
+        List<Path> found = new ArrayList<>();
+        for (String folder : folders) {
+            List<Path> here = findIn(Path.of(folder));
+            if (here.isEmpty()) {
+                throw new CommandFailedException(ExitCode.USAGE, "no " + FILE_NAME + " in " + folder);
+            }
+            found.addAll(here);
+        }
+        return found;
+    }
+
+    private static List<Path> findIn(Path folder) throws IOException {
+        if (Files.isRegularFile(folder)) {
+            return List.of(folder);
+        }
+        if (!Files.isDirectory(folder)) {
+            return List.of();
+        }
+        try (Stream<Path> children = Files.list(folder)) {
+            return Stream.concat(Stream.of(folder), children.filter(Files::isDirectory))
+                    .map(place -> place.resolve(FILE_NAME))
+                    .filter(Files::isRegularFile)
+                    .sorted()
+                    .toList();
+        }
+    }
+
+    /** Parses the files; reports the faults of all of them together. */
+    static List<ServiceDocument> read(List<String> folders)
+            throws IOException, CommandFailedException, InvalidConfigurationException {
+        List<Problem> problems = new ArrayList<>();
+        List<ServiceDocument> documents = new ArrayList<>();
+        for (Path file : find(folders)) {
+            try {
+                documents.add(ServiceDocument.parse(file.toString(), Files.readString(file, StandardCharsets.UTF_8)));
+            } catch (InvalidConfigurationException e) {
+                problems.addAll(e.problems());
+            }
+        }
+        if (!problems.isEmpty()) {
+            throw new InvalidConfigurationException(problems);
+        }
+        return documents;
+    }
+}
--- /dev/null
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.toucanlane.cli;
--- /dev/null
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/claim/ShardQueue.java
@@ -0,0 +1,76 @@
+package org.toucanlane.coordination.claim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import org.toucanlane.coordination.store.StoreException;
+
+/**
+ * Operations on one shard, committed in batches in their order of arrival.
+ *
+ * <p>Invariant: at most one batch is under way; what arrives meanwhile forms the next one. Thread-safe.
+ */
+final class ShardQueue {
+
+    private static final int MAX_BATCH = 1000;
+
+    private final Queue<Operation> waiting = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger unfinished = new AtomicInteger();
+    private final Executor executor;
+    private final Commit commit;
+
+    ShardQueue(Executor executor, Commit commit) {
+        this.executor = executor;
+        this.commit = commit;
+    }
+
+    /** Adds an operation; the future ends when its batch has been committed or has failed. */
+    CompletableFuture<ClaimResult> submit(Step step) {
+        Operation operation = new Operation(step, new CompletableFuture<>());
+        waiting.add(operation);
+        if (unfinished.getAndIncrement() == 0) {
+            executor.execute(this::runBatches);
+        }
+        return operation.result();
+    }
+
+    private void runBatches() {
+        int done;
+        do {
+            List<Operation> batch = nextBatch();
+            try {
+                commit.commit(batch);
+            } catch (StoreException | RuntimeException e) {
+                batch.forEach(operation -> operation.result().completeExceptionally(e));
+            }
+            done = batch.size();
+        } while (unfinished.addAndGet(-done) > 0);
+    }
+
+    private List<Operation> nextBatch() {
+        List<Operation> batch = new ArrayList<>();
+        Operation next = waiting.poll();
+        while (next != null) {
+            batch.add(next);
+            next = batch.size() < MAX_BATCH ? waiting.poll() : null;
+        }
+        return batch;
+    }
+
+    /** One operation's effect on the shard; may be applied to several readings of it until one is written. */
+    interface Step extends Function<ShardState, ClaimResult> {}
+
+    /** Writes a batch and completes its results, or throws. */
+    @FunctionalInterface
+    interface Commit {
+        void commit(List<Operation> batch) throws StoreException;
+    }
+
+    /** A step and where its result goes. */
+    record Operation(Step step, CompletableFuture<ClaimResult> result) {}
+}
--- /dev/null
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/clock/package-info.java
@@ -0,0 +1,2 @@
+/** Sources of time that tests can replace. */
+package org.toucanlane.coordination.clock;
--- /dev/null
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareLedger.java
@@ -0,0 +1,274 @@
+package org.toucanlane.coordination.share;
+
+import com.google.common.base.Preconditions;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.toucanlane.coordination.clock.MonotonicClock;
+
+/**
+ * One host's view of every account's limit: the shares that it holds and the loans that it takes from other holders.
+ *
+ * <p>Over any window, all hosts together admit for an account at most {@code rate * window + burst} tokens, counted at
+ * admission and without what was given back, whatever messages are lost or late and whichever hosts stop, pause or
+ * restart. No store and no election takes part. The bound holds by {@link AccountShare}'s invariant at each holder and
+ * because a borrower spends a loan only before it expires by its own clock, counted from before it asked.
+ *
+ * <p>Prior art: escrow transactions (O'Neil, "The Escrow Transactional Method", 1986) and the demarcation protocol
+ * (Barbará and Garcia-Molina, 1992).
+ *
+ * <p>Thread-safe. An admission that needs no loan takes one account's lock and sends nothing.
+ */
+public final class ShareLedger {
+
+    private final String host;
+    private final String dataCentre;
+    private final long incarnation;
+    private final MonotonicClock clock;
+    private final LoanTransport transport;
+    private final LoanTerms terms;
+    private final long startedAt;
+    private final Map<String, AccountShare> shares = new ConcurrentHashMap<>();
+    private final Map<LenderKey, Long> shortUntil = new ConcurrentHashMap<>();
+    private final Map<String, Long> raiseAt = new HashMap<>();
+    private final AtomicLong nextId = new AtomicLong();
+    private volatile ShareTable table = ShareTable.empty();
+
+    private ShareLedger(Builder builder) {
+        this.host = Preconditions.checkNotNull(builder.host, "host");
+        this.dataCentre = Preconditions.checkNotNull(builder.dataCentre, "dataCentre");
+        this.incarnation = builder.incarnation;
+        this.clock = Preconditions.checkNotNull(builder.clock, "clock");
+        this.transport = Preconditions.checkNotNull(builder.transport, "transport");
+        this.terms = Preconditions.checkNotNull(builder.terms, "terms");
+        this.startedAt = clock.nanos();
+    }
+
+    /** Returns a builder without values. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /**
+     * Puts {@code next} into force, or takes note of new confirmations of the table in force.
+     *
+     * <p>A share that came from another holder is used only once that holder has confirmed and its loans have expired.
+     * Call this again from time to time while shares move.
+     *
+     * @param confirmed the newest version of the configuration that each other host has in force
+     */
+    public synchronized void apply(ShareTable next, Map<String, Long> confirmed) {
+        if (next.version() < table.version()) {
+            return;
+        }
+        long now = clock.nanos();
+        next.accounts().forEach(account -> applyLimit(account, next, confirmed, now));
+        shares.forEach((account, share) -> {
+            if (!next.accounts().contains(account)) {
+                share.resize(ShareLimit.NONE, now);
+            }
+        });
+        table = next;
+    }
+
+    private void applyLimit(String account, ShareTable next, Map<String, Long> confirmed, long now) {
+        ShareLimit limit = next.limitOf(account, host, confirmed);
+        AccountShare share = shares.get(account);
+        ShareLimit current = share == null ? ShareLimit.NONE : share.limit();
+        boolean raised = !limit.isWithin(current);
+        if (!raised) {
+            raiseAt.remove(account);
+        } else if (next.isMoving(account)) {
+            long from = raiseAt.computeIfAbsent(
+                    account, key -> now + terms.lenderValidity().toNanos());
+            limit = from - now <= 0 ? limit : limit.min(current);
+        }
+        if (share != null && !current.equals(limit)) {
+            share.resize(limit, now);
+        } else if (share == null && !limit.equals(ShareLimit.NONE)) {
+            shares.put(account, AccountShare.startingEmpty(limit, Math.max(now, quarantineEnd())));
+        }
+    }
+
+    /** Returns when every loan of an earlier process of this host has expired. */
+    private long quarantineEnd() {
+        return startedAt + terms.lenderValidity().toNanos();
+    }
+
+    /**
+     * Takes {@code tokens} of {@code account} here and, as far as this host is short, from other holders.
+     *
+     * @throws ShortOfTokensException if all reachable holders together are short; everything taken was given back
+     * @throws IllegalArgumentException if {@code tokens} is not positive
+     */
+    public Charge admit(String account, long tokens) throws ShortOfTokensException {
+        Preconditions.checkArgument(tokens > 0, "tokens must be positive: %s", tokens);
+        String id = host + '/' + incarnation + '/' + nextId.incrementAndGet();
+        List<Charge.Part> parts = new ArrayList<>();
+        long missing = tokens - takeOwn(account, id, tokens, parts);
+        if (missing > 0) {
+            long deadline = clock.nanos() + terms.borrowWait().toNanos();
+            for (HostShare lender : lenders(account)) {
+                if (missing > 0 && clock.nanos() < deadline) {
+                    missing -= borrow(account, id, missing, lender, parts);
+                }
+            }
+        }
+        Charge charge = Charge.of(parts);
+        if (missing > 0) {
+            charge.settle(0);
+            throw new ShortOfTokensException(
+                    "account " + account + " is short of " + missing + " of " + tokens + " tokens",
+                    accrualTime(account, missing));
+        }
+        return charge;
+    }
+
+    private long takeOwn(String account, String id, long tokens, List<Charge.Part> parts) {
+        AccountShare share = shares.get(account);
+        if (share == null) {
+            return 0;
+        }
+        long now = clock.nanos();
+        long taken = share.lend(id, tokens, now, now);
+        if (taken > 0) {
+            parts.add(new Charge.Part(taken, unused -> share.giveBack(id, unused, clock.nanos())));
+        }
+        return taken;
+    }
+
+    private List<HostShare> lenders(String account) {
+        long now = clock.nanos();
+        return table.holders(account).stream()
+                .filter(holder -> !holder.host().equals(host))
+                .filter(holder -> transport.isReachable(holder.host()))
+                .filter(holder -> shortUntil.getOrDefault(new LenderKey(account, holder.host()), now) - now <= 0)
+                .sorted((a, b) -> Boolean.compare(
+                        b.dataCentre().equals(dataCentre), a.dataCentre().equals(dataCentre)))
+                .toList();
+    }
+
+    private long borrow(String account, String id, long tokens, HostShare lender, List<Charge.Part> parts) {
+        long sentAt = clock.nanos();
+        Optional<LoanGrant> grant = transport.borrow(lender.host(), id, account, tokens, terms.borrowWait());
+        if (grant.isEmpty()) {
+            transport.giveBack(lender.host(), id, account, tokens);
+            return 0;
+        }
+        long lent = Math.min(tokens, grant.get().tokens());
+        if (lent < tokens) {
+            shortUntil.put(new LenderKey(account, lender.host()), sentAt + pauseAfterShort(lender, tokens - lent));
+        }
+        long usableUntil =
+                sentAt + terms.borrowerValidity(grant.get().validity()).toNanos();
+        if (lent <= 0) {
+            return 0;
+        }
+        if (clock.nanos() - usableUntil >= 0) {
+            transport.giveBack(lender.host(), id, account, lent);
+            return 0;
+        }
+        parts.add(new Charge.Part(lent, unused -> transport.giveBack(lender.host(), id, account, unused)));
+        return lent;
+    }
+
+    private long pauseAfterShort(HostShare lender, long missing) {
+        long rate = Math.max(1, lender.limit().tokensPerSecond());
+        long nanos = (long) (missing * (double) TokenAmounts.UNITS_PER_TOKEN / rate);
+        return Math.min(terms.longestPause().toNanos(), nanos);
+    }
+
+    private Duration accrualTime(String account, long missing) {
+        long rate = Math.max(
+                1,
+                table.holders(account).stream()
+                        .mapToLong(holder -> holder.limit().tokensPerSecond())
+                        .sum());
+        return Duration.ofMillis(Math.max(1, missing * 1000 / rate));
+    }
+
+    /** Lends tokens of this host's share to another host; returns a grant of 0 tokens when short. */
+    public LoanGrant lend(String loanId, String account, long tokens) {
+        AccountShare share = shares.get(account);
+        if (share == null || tokens <= 0) {
+            return new LoanGrant(0, Duration.ZERO);
+        }
+        long now = clock.nanos();
+        long lent = share.lend(loanId, tokens, now, now + terms.lenderValidity().toNanos());
+        return new LoanGrant(lent, terms.validity());
+    }
+
+    /** Takes back what another host did not spend of a loan. */
+    public void takeBack(String loanId, String account, long unusedTokens) {
+        AccountShare share = shares.get(account);
+        if (share != null) {
+            share.giveBack(loanId, unusedTokens, clock.nanos());
+        }
+    }
+
+    /** Returns the free tokens of this host's share of {@code account}. */
+    public long freeTokens(String account) {
+        AccountShare share = shares.get(account);
+        return share == null ? 0 : share.freeTokens(clock.nanos());
+    }
+
+    /** Returns the table in force. */
+    public ShareTable table() {
+        return table;
+    }
+
+    private record LenderKey(String account, String lender) {}
+
+    /** Collects what a ledger needs. Not thread-safe. */
+    public static final class Builder {
+
+        private String host;
+        private String dataCentre;
+        private long incarnation;
+        private MonotonicClock clock = MonotonicClock.system();
+        private LoanTransport transport;
+        private LoanTerms terms = LoanTerms.standard();
+
+        private Builder() {}
+
+        /** Sets this host's name, data centre and incarnation. */
+        public Builder self(String name, String centre, long processIncarnation) {
+            this.host = name;
+            this.dataCentre = centre;
+            this.incarnation = processIncarnation;
+            return this;
+        }
+
+        /** Sets the clock; the process's own by default. */
+        public Builder clock(MonotonicClock value) {
+            this.clock = value;
+            return this;
+        }
+
+        /** Sets how loans travel. */
+        public Builder transport(LoanTransport value) {
+            this.transport = value;
+            return this;
+        }
+
+        /** Sets the loans' times. */
+        public Builder terms(LoanTerms value) {
+            this.terms = value;
+            return this;
+        }
+
+        /**
+         * Returns a ledger without accounts.
+         *
+         * @throws NullPointerException if the host, the data centre or the transport is missing
+         */
+        public ShareLedger build() {
+            return new ShareLedger(this);
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareSplit.java
@@ -0,0 +1,96 @@
+package org.toucanlane.coordination.share;
+
+import com.google.common.base.Preconditions;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.toucanlane.coordination.hash.RendezvousHash;
+
+/**
+ * Division of an account's limit into one share a data centre, each held by one host there.
+ *
+ * <p>Invariant: the parts sum to at most the whole, in rate and in burst. Stateless and thread-safe.
+ */
+public final class ShareSplit {
+
+    private ShareSplit() {}
+
+    /**
+     * Returns the holders of {@code account}, largest share first.
+     *
+     * @param weights relative weight of each data centre; those without a positive weight or without hosts get nothing
+     * @param hosts host names by data centre
+     */
+    public static List<HostShare> of(
+            String account, ShareLimit whole, Map<String, Integer> weights, Map<String, List<String>> hosts) {
+        Preconditions.checkNotNull(whole, "whole");
+        Map<String, Integer> effective = new TreeMap<>();
+        weights.forEach((dataCentre, weight) -> {
+            if (weight > 0 && !hosts.getOrDefault(dataCentre, List.of()).isEmpty()) {
+                effective.put(dataCentre, weight);
+            }
+        });
+        long total = effective.values().stream().mapToLong(Integer::longValue).sum();
+        List<HostShare> shares = new ArrayList<>();
+        effective.forEach((dataCentre, weight) -> {
+            String holder = RendezvousHash.pick(account, hosts.get(dataCentre)).orElseThrow();
+            shares.add(new HostShare(holder, dataCentre, part(whole, weight, total)));
+        });
+        shares.sort((a, b) -> Long.compare(b.limit().burstTokens(), a.limit().burstTokens()));
+        return withRemainder(whole, shares);
+    }
+
+    private static ShareLimit part(ShareLimit whole, long weight, long total) {
+        return new ShareLimit(
+                scaled(whole.tokensPerSecond(), weight, total), scaled(whole.burstTokens(), weight, total));
+    }
+
+    /** Returns {@code amount * weight / total}, rounded down, without overflow. */
+    private static long scaled(long amount, long weight, long total) {
+        return amount / total * weight + amount % total * weight / total;
+    }
+
+    private static List<HostShare> withRemainder(ShareLimit whole, List<HostShare> shares) {
+        if (shares.isEmpty()) {
+            return List.of();
+        }
+        long rate = shares.stream().mapToLong(s -> s.limit().tokensPerSecond()).sum();
+        long burst = shares.stream().mapToLong(s -> s.limit().burstTokens()).sum();
+        HostShare first = shares.get(0);
+        ShareLimit limit = new ShareLimit(
+                first.limit().tokensPerSecond() + whole.tokensPerSecond() - rate,
+                first.limit().burstTokens() + whole.burstTokens() - burst);
+        shares.set(0, new HostShare(first.host(), first.dataCentre(), limit));
+        return List.copyOf(shares);
+    }
+
+    /**
+     * Returns whether tokens pass from one host to another between two divisions: some host gets more and some other
+     * less. Otherwise any mixture of the two stays within the larger.
+     */
+    public static boolean isMove(Collection<HostShare> before, Collection<HostShare> after) {
+        Set<String> hosts = Stream.concat(before.stream(), after.stream())
+                .map(HostShare::host)
+                .collect(Collectors.toSet());
+        boolean gains = hosts.stream().anyMatch(host -> !heldBy(host, after).isWithin(heldBy(host, before)));
+        boolean loses = hosts.stream().anyMatch(host -> !heldBy(host, before).isWithin(heldBy(host, after)));
+        return gains && loses;
+    }
+
+    /** Returns the sum of the parts that {@code host} holds. */
+    public static ShareLimit heldBy(String host, Collection<HostShare> shares) {
+        return shares.stream()
+                .filter(share -> Objects.equals(share.host(), host))
+                .map(HostShare::limit)
+                .reduce(
+                        ShareLimit.NONE,
+                        (a, b) -> new ShareLimit(
+                                a.tokensPerSecond() + b.tokensPerSecond(), a.burstTokens() + b.burstTokens()));
+    }
+}
--- /dev/null
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/account/package-info.java
@@ -0,0 +1,2 @@
+/** Client accounts, their limits, their residency and their API keys. */
+package org.toucanlane.domain.account;
--- /dev/null
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/configuration/ConfigurationAssembler.java
@@ -0,0 +1,233 @@
+package org.toucanlane.domain.configuration;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.toucanlane.domain.account.ApiKey;
+import org.toucanlane.domain.account.ClientAccount;
+import org.toucanlane.domain.fleet.DataCentre;
+import org.toucanlane.domain.fleet.Endpoint;
+import org.toucanlane.domain.route.Idempotency;
+import org.toucanlane.domain.route.Route;
+
+/**
+ * Puts documents together and gathers every fault on the way. Used once; not thread-safe.
+ */
+final class ConfigurationAssembler {
+
+    private static final int DEFAULT_CAPACITY = 8;
+
+    private final List<ServiceDocument> documents;
+    private final List<Problem> problems = new ArrayList<>();
+    private final Map<String, String> takenNames = new HashMap<>();
+    private final Map<String, DataCentre> dataCentres = new LinkedHashMap<>();
+    private final Map<String, Set<String>> regions = new LinkedHashMap<>();
+    private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
+    private final Map<String, Route> routes = new LinkedHashMap<>();
+    private final Map<String, ClientAccount> accounts = new LinkedHashMap<>();
+    private final Map<String, ApiKey> keys = new LinkedHashMap<>();
+
+    ConfigurationAssembler(Collection<ServiceDocument> documents) {
+        this.documents = documents.stream()
+                .sorted(Comparator.comparing(ServiceDocument::name))
+                .toList();
+    }
+
+    FleetConfiguration assemble() throws InvalidConfigurationException {
+        documents.forEach(document -> claimName(document, "/name", "file", document.name()));
+        documents.forEach(this::addRegions);
+        documents.forEach(this::addEndpoints);
+        documents.forEach(this::addAccounts);
+        documents.forEach(this::addRoutes);
+        if (!problems.isEmpty()) {
+            throw new InvalidConfigurationException(problems);
+        }
+        return new FleetConfiguration(dataCentres, endpoints, routes, accounts, keys);
+    }
+
+    private boolean claimName(ServiceDocument document, String pointer, String sort, String name) {
+        String earlier = takenNames.putIfAbsent(sort + ' ' + name, document.fileName());
+        if (earlier != null) {
+            report(
+                    document,
+                    pointer,
+                    "the " + sort + " \"" + name + "\" is already in " + earlier,
+                    "choose another name");
+        }
+        return earlier == null;
+    }
+
+    private void report(ServiceDocument document, String pointer, String message, String hint) {
+        problems.add(document.problemAt(pointer, message, hint));
+    }
+
+    private void addRegions(ServiceDocument document) {
+        List<ServiceFile.RegionEntry> entries = document.file().regions();
+        for (int i = 0; i < entries.size(); i++) {
+            ServiceFile.RegionEntry region = entries.get(i);
+            String pointer = "/regions/" + i;
+            claimName(document, pointer + "/name", "place", region.name());
+            regions.put(region.name(), new LinkedHashSet<>());
+            for (int j = 0; j < region.dataCentres().size(); j++) {
+                addDataCentre(
+                        document,
+                        pointer + "/dataCentres/" + j,
+                        region.name(),
+                        region.dataCentres().get(j));
+            }
+        }
+    }
+
+    private void addDataCentre(
+            ServiceDocument document, String pointer, String region, ServiceFile.DataCentreEntry entry) {
+        if (claimName(document, pointer + "/name", "place", entry.name())) {
+            regions.get(region).add(entry.name());
+            dataCentres.put(entry.name(), new DataCentre(entry.name(), region, entry.hosts()));
+        }
+        for (int i = 0; i < entry.hosts().size(); i++) {
+            claimName(document, pointer + "/hosts/" + i, "host", entry.hosts().get(i));
+        }
+    }
+
+    private void addEndpoints(ServiceDocument document) {
+        List<ServiceFile.EndpointEntry> entries = document.file().endpoints();
+        for (int i = 0; i < entries.size(); i++) {
+            ServiceFile.EndpointEntry entry = entries.get(i);
+            String pointer = "/endpoints/" + i;
+            claimName(document, pointer + "/name", "endpoint", entry.name());
+            if (!dataCentres.containsKey(entry.dataCentre())) {
+                unknown(document, pointer + "/dataCentre", "data centre", entry.dataCentre(), dataCentres.keySet());
+            }
+            int capacity = entry.capacity() == null ? DEFAULT_CAPACITY : entry.capacity();
+            endpoints.put(
+                    entry.name(),
+                    new Endpoint(
+                            entry.name(), document.name(), entry.dataCentre(), URI.create(entry.address()), capacity));
+        }
+    }
+
+    private void unknown(ServiceDocument document, String pointer, String sort, String name, Collection<String> known) {
+        String hint = NearestName.of(name, known)
+                .map(nearest -> "did you mean \"" + nearest + "\"?")
+                .orElse("known: " + known.stream().sorted().collect(Collectors.joining(", ")));
+        report(document, pointer, "unknown " + sort + " \"" + name + '"', hint);
+    }
+
+    private Set<String> resolvePlaces(ServiceDocument document, String pointer, List<String> places) {
+        if (places.isEmpty()) {
+            return dataCentres.keySet();
+        }
+        Set<String> resolved = new LinkedHashSet<>();
+        for (int i = 0; i < places.size(); i++) {
+            String place = places.get(i);
+            if (regions.containsKey(place)) {
+                resolved.addAll(regions.get(place));
+            } else if (dataCentres.containsKey(place)) {
+                resolved.add(place);
+            } else {
+                List<String> known = new ArrayList<>(regions.keySet());
+                known.addAll(dataCentres.keySet());
+                unknown(document, pointer + '/' + i, "region or data centre", place, known);
+            }
+        }
+        return resolved;
+    }
+
+    private void addAccounts(ServiceDocument document) {
+        List<ServiceFile.AccountEntry> entries = document.file().accounts();
+        for (int i = 0; i < entries.size(); i++) {
+            ServiceFile.AccountEntry entry = entries.get(i);
+            String pointer = "/accounts/" + i;
+            claimName(document, pointer + "/name", "account", entry.name());
+            Set<String> allowed = resolvePlaces(document, pointer + "/residency", entry.residency());
+            accounts.put(
+                    entry.name(),
+                    new ClientAccount(
+                            entry.name(),
+                            entry.tokensPerSecond(),
+                            entry.burstTokens(),
+                            entry.weight(),
+                            sharesOf(document, pointer + "/shares", entry, allowed),
+                            allowed));
+            addKeys(document, pointer + "/keys/", entry);
+        }
+    }
+
+    private Map<String, Integer> sharesOf(
+            ServiceDocument document, String pointer, ServiceFile.AccountEntry entry, Set<String> allowed) {
+        if (entry.shares().isEmpty()) {
+            return allowed.stream().collect(Collectors.toMap(dataCentre -> dataCentre, dataCentre -> 1));
+        }
+        entry.shares().keySet().stream()
+                .filter(dataCentre -> !allowed.contains(dataCentre))
+                .sorted()
+                .forEach(dataCentre -> unknown(
+                        document, pointer + '/' + dataCentre, "data centre in the residency", dataCentre, allowed));
+        if (entry.shares().values().stream().allMatch(weight -> weight == 0)) {
+            report(document, pointer, "no share is positive", "give at least one data centre a positive weight");
+        }
+        return entry.shares();
+    }
+
+    private void addKeys(ServiceDocument document, String pointer, ServiceFile.AccountEntry entry) {
+        for (int i = 0; i < entry.keys().size(); i++) {
+            ServiceFile.KeyEntry key = entry.keys().get(i);
+            claimName(document, pointer + i + "/id", "key", key.id());
+            keys.put(key.id(), new ApiKey(key.id(), entry.name(), key.hash()));
+        }
+    }
+
+    private void addRoutes(ServiceDocument document) {
+        List<ServiceFile.RouteEntry> entries = document.file().routes();
+        for (int i = 0; i < entries.size(); i++) {
+            ServiceFile.RouteEntry entry = entries.get(i);
+            String pointer = "/routes/" + i;
+            claimName(document, pointer + "/name", "route", entry.name());
+            for (int j = 0; j < entry.models().size(); j++) {
+                claimName(
+                        document,
+                        pointer + "/models/" + j,
+                        "model",
+                        entry.models().get(j));
+            }
+            for (int j = 0; j < entry.accounts().size(); j++) {
+                if (!accounts.containsKey(entry.accounts().get(j))) {
+                    String place = pointer + "/accounts/" + j;
+                    unknown(document, place, "account", entry.accounts().get(j), accounts.keySet());
+                }
+            }
+            Set<String> allowed = resolvePlaces(document, pointer + "/residency", entry.residency());
+            routes.putIfAbsent(entry.name(), toRoute(document.name(), entry, allowed));
+        }
+    }
+
+    private static Route toRoute(String service, ServiceFile.RouteEntry entry, Set<String> allowed) {
+        Map<String, Idempotency> methods = entry.models().isEmpty()
+                ? entry.methods().entrySet().stream()
+                        .collect(Collectors.toMap(Map.Entry::getKey, method -> idempotency(method.getValue())))
+                : Map.of("POST", Idempotency.IDEMPOTENT);
+        String path = entry.path() == null || entry.path().equals("/") ? "" : entry.path();
+        return new Route(
+                entry.name(),
+                service,
+                Set.copyOf(entry.models()),
+                path,
+                methods,
+                Set.copyOf(entry.accounts()),
+                entry.open(),
+                allowed);
+    }
+
+    private static Idempotency idempotency(String word) {
+        return Idempotency.valueOf(word.replace('-', '_').toUpperCase(Locale.ROOT));
+    }
+}
--- /dev/null
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/configuration/FleetConfiguration.java
@@ -0,0 +1,185 @@
+package org.toucanlane.domain.configuration;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.collect.Maps;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.toucanlane.coordination.share.HostShare;
+import org.toucanlane.coordination.share.ShareLimit;
+import org.toucanlane.coordination.share.ShareSplit;
+import org.toucanlane.domain.account.ApiKey;
+import org.toucanlane.domain.account.ClientAccount;
+import org.toucanlane.domain.fleet.DataCentre;
+import org.toucanlane.domain.fleet.Endpoint;
+import org.toucanlane.domain.route.Route;
+
+/**
+ * Everything the operators have put into force, checked as a whole.
+ *
+ * <p>Invariants: names are unique; every data centre, account and service that is named exists; every account may run
+ * somewhere; shares lie inside the account's residency. Immutable; read without locks on a request's path.
+ */
+public final class FleetConfiguration {
+
+    private final ImmutableSortedMap<String, DataCentre> dataCentres;
+    private final ImmutableMap<String, Endpoint> endpoints;
+    private final ImmutableMap<String, ImmutableList<Endpoint>> endpointsByService;
+    private final ImmutableSortedMap<String, Route> routes;
+    private final ImmutableMap<String, Route> routesByModel;
+    private final ImmutableSortedMap<String, ClientAccount> accounts;
+    private final ImmutableMap<String, ApiKey> keys;
+
+    FleetConfiguration(
+            Map<String, DataCentre> dataCentres,
+            Map<String, Endpoint> endpoints,
+            Map<String, Route> routes,
+            Map<String, ClientAccount> accounts,
+            Map<String, ApiKey> keys) {
+        this.dataCentres = ImmutableSortedMap.copyOf(dataCentres);
+        this.endpoints = ImmutableMap.copyOf(endpoints);
+        this.endpointsByService = groupByService(endpoints.values());
+        this.routes = ImmutableSortedMap.copyOf(routes);
+        this.routesByModel = byModel(routes.values());
+        this.accounts = ImmutableSortedMap.copyOf(accounts);
+        this.keys = ImmutableMap.copyOf(keys);
+    }
+
+    private static ImmutableMap<String, ImmutableList<Endpoint>> groupByService(Collection<Endpoint> endpoints) {
+        ImmutableListMultimap<String, Endpoint> grouped = endpoints.stream()
+                .sorted(Comparator.comparing(Endpoint::name))
+                .collect(ImmutableListMultimap.toImmutableListMultimap(Endpoint::service, endpoint -> endpoint));
+        return ImmutableMap.copyOf(Maps.transformValues(grouped.asMap(), ImmutableList::copyOf));
+    }
+
+    private static ImmutableMap<String, Route> byModel(Collection<Route> routes) {
+        ImmutableMap.Builder<String, Route> byModel = ImmutableMap.builder();
+        routes.forEach(route -> route.models().forEach(model -> byModel.put(model, route)));
+        return byModel.buildOrThrow();
+    }
+
+    /**
+     * Puts documents together.
+     *
+     * @throws InvalidConfigurationException with all faults, if the documents do not fit each other
+     */
+    public static FleetConfiguration assemble(Collection<ServiceDocument> documents)
+            throws InvalidConfigurationException {
+        return new ConfigurationAssembler(documents).assemble();
+    }
+
+    /** Returns the data centres by name. */
+    public Map<String, DataCentre> dataCentres() {
+        return dataCentres;
+    }
+
+    /** Returns the accounts by name. */
+    public Map<String, ClientAccount> accounts() {
+        return accounts;
+    }
+
+    /** Returns the routes by name. */
+    public Map<String, Route> routes() {
+        return routes;
+    }
+
+    /** Returns the endpoints by name. */
+    public Map<String, Endpoint> endpoints() {
+        return endpoints;
+    }
+
+    /** Returns the endpoints of {@code service}, by name. */
+    public List<Endpoint> endpointsOf(String service) {
+        return endpointsByService.getOrDefault(service, ImmutableList.of());
+    }
+
+    /** Returns the endpoints of {@code service} in {@code dataCentre}, by name. */
+    public List<Endpoint> endpointsOf(String service, String dataCentre) {
+        return endpointsOf(service).stream()
+                .filter(endpoint -> endpoint.dataCentre().equals(dataCentre))
+                .toList();
+    }
+
+    /** Returns the key with the public part {@code id}. */
+    public Optional<ApiKey> key(String id) {
+        return Optional.ofNullable(keys.get(id));
+    }
+
+    /** Returns all keys by their public part. */
+    public Map<String, ApiKey> keys() {
+        return keys;
+    }
+
+    /** Returns the route that serves {@code model}. */
+    public Optional<Route> routeForModel(String model) {
+        return Optional.ofNullable(routesByModel.get(model));
+    }
+
+    /** Returns the route with the longest prefix of {@code path} below {@code service}. */
+    public Optional<Route> routeForPath(String service, String path) {
+        return routes.values().stream()
+                .filter(route -> route.service().equals(service) && route.matchesPath(path))
+                .max(Comparator.comparingInt(route -> route.pathPrefix().length()));
+    }
+
+    /** Returns the models that {@code account} may use, sorted. */
+    public List<String> modelsFor(String account) {
+        return routes.values().stream()
+                .filter(route -> route.allows(account))
+                .flatMap(route -> route.models().stream())
+                .sorted()
+                .toList();
+    }
+
+    /** Returns where a request of {@code account} on {@code route} may run. */
+    public Set<String> allowedDataCentres(ClientAccount account, Route route) {
+        return account.allowedDataCentres().stream()
+                .filter(route.allowedDataCentres()::contains)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    /** Returns the names of all hosts. */
+    public Set<String> hosts() {
+        return dataCentres.values().stream()
+                .flatMap(dataCentre -> dataCentre.hosts().stream())
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    /** Returns the name of the data centre that {@code host} belongs to. */
+    public Optional<String> dataCentreOf(String host) {
+        return dataCentres.values().stream()
+                .filter(dataCentre -> dataCentre.hosts().contains(host))
+                .map(DataCentre::name)
+                .findFirst();
+    }
+
+    /** Returns who holds which share of each account's limit. */
+    public Map<String, List<HostShare>> shareHolders() {
+        ImmutableMap<String, List<String>> hosts =
+                dataCentres.values().stream().collect(ImmutableMap.toImmutableMap(DataCentre::name, DataCentre::hosts));
+        return accounts.values().stream()
+                .collect(ImmutableMap.toImmutableMap(
+                        ClientAccount::name,
+                        account -> ShareSplit.of(
+                                account.name(),
+                                new ShareLimit(account.tokensPerSecond(), account.burstTokens()),
+                                account.shares(),
+                                hosts)));
+    }
+
+    /** Returns the names of all services with endpoints or routes. */
+    public Set<String> services() {
+        return Stream.concat(
+                        endpoints.values().stream().map(Endpoint::service),
+                        routes.values().stream().map(Route::service))
+                .collect(ImmutableSet.toImmutableSet());
+    }
+}
--- /dev/null
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/fleet/Endpoint.java
@@ -0,0 +1,14 @@
+package org.toucanlane.domain.fleet;
+
+import java.net.URI;
+
+/**
+ * One instance of a service, such as a model engine.
+ *
+ * @param name unique name
+ * @param service name of the service
+ * @param dataCentre name of its data centre
+ * @param address base address
+ * @param capacity requests that it serves at the same time without queueing
+ */
+public record Endpoint(String name, String service, String dataCentre, URI address, int capacity) {}
--- /dev/null
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Regions, data centres, hosts and endpoints. */
+package org.toucanlane.domain.fleet;
--- /dev/null
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/route/package-info.java
@@ -0,0 +1,2 @@
+/** Routes from callers' requests to services. */
+package org.toucanlane.domain.route;
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/GatewayApplication.java
@@ -0,0 +1,94 @@
+package org.toucanlane.gateway;
+
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import io.dropwizard.configuration.JsonConfigurationFactory;
+import io.dropwizard.core.Application;
+import io.dropwizard.core.setup.Bootstrap;
+import io.dropwizard.core.setup.Environment;
+import io.dropwizard.lifecycle.Managed;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
+import org.eclipse.jetty.util.component.LifeCycle;
+import org.toucanlane.gateway.admin.DrainServlet;
+import org.toucanlane.gateway.admin.ExplainServlet;
+import org.toucanlane.gateway.admin.MetricsServlet;
+import org.toucanlane.gateway.admin.StatusServlet;
+import org.toucanlane.gateway.caller.DirectoryResource;
+import org.toucanlane.gateway.caller.HealthResource;
+import org.toucanlane.gateway.caller.ModelResource;
+import org.toucanlane.gateway.caller.PlainResource;
+import org.toucanlane.gateway.lifecycle.Drain;
+import org.toucanlane.gateway.lifecycle.GatewayRuntime;
+
+/** The host's daemon as a Dropwizard application. */
+public class GatewayApplication extends Application<GatewaySettings> {
+
+    @Override
+    public String getName() {
+        return "toucanlane-gateway";
+    }
+
+    @Override
+    public void initialize(Bootstrap<GatewaySettings> bootstrap) {
+        bootstrap.setConfigurationFactoryFactory(JsonConfigurationFactory::new);
+    }
+
+    @Override
+    public void run(GatewaySettings settings, Environment environment) throws IOException {
+        Injector injector = Guice.createInjector(new GatewayModule(settings));
+        environment.jersey().register(injector.getInstance(ModelResource.class));
+        environment.jersey().register(injector.getInstance(PlainResource.class));
+        environment.jersey().register(injector.getInstance(DirectoryResource.class));
+        environment.jersey().register(injector.getInstance(HealthResource.class));
+        registerAdmin(injector, environment);
+        environment.lifecycle().manage(toManaged(injector.getInstance(GatewayRuntime.class)));
+        drainBeforeStop(injector.getInstance(Drain.class), environment);
+    }
+
+    private static void registerAdmin(Injector injector, Environment environment) {
+        PrometheusMeterRegistry registry = injector.getInstance(PrometheusMeterRegistry.class);
+        environment
+                .admin()
+                .addServlet("prometheus", new MetricsServlet(registry))
+                .addMapping("/prometheus");
+        environment
+                .admin()
+                .addServlet("status", injector.getInstance(StatusServlet.class))
+                .addMapping("/status");
+        environment
+                .admin()
+                .addServlet("explain", injector.getInstance(ExplainServlet.class))
+                .addMapping("/explain");
+        environment
+                .admin()
+                .addServlet("drain", injector.getInstance(DrainServlet.class))
+                .addMapping("/drain");
+    }
+
+    private static Managed toManaged(GatewayRuntime runtime) {
+        return new Managed() {
+            @Override
+            public void start() throws IOException, InterruptedException {
+                runtime.start();
+            }
+
+            @Override
+            public void stop() {
+                runtime.stop();
+            }
+        };
+    }
+
+    /** Drains while the server still accepts and its background work still runs: listeners are told first. */
+    private static void drainBeforeStop(Drain drain, Environment environment) {
+        environment
+                .lifecycle()
+                .addServerLifecycleListener(server -> server.addEventListener(new LifeCycle.Listener() {
+                    @Override
+                    public void lifeCycleStopping(LifeCycle stopping) {
+                        drain.run();
+                    }
+                }));
+    }
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/admin/ExplainServlet.java
@@ -0,0 +1,55 @@
+package org.toucanlane.gateway.admin;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import jakarta.servlet.http.HttpServlet;
+import jakarta.servlet.http.HttpServletRequest;
+import jakarta.servlet.http.HttpServletResponse;
+import java.io.IOException;
+import java.util.List;
+import org.toucanlane.domain.configuration.FleetConfiguration;
+import org.toucanlane.domain.outcome.RequestFailedException;
+import org.toucanlane.gateway.configuration.ConfigurationKeeper;
+import org.toucanlane.gateway.dispatch.DataCentres;
+import org.toucanlane.policy.routing.DataCentreView;
+
+/**
+ * Says where a request of an account on a route would run now, and why, from the same views that decide. Thread-safe.
+ */
+@Singleton
+public final class ExplainServlet extends HttpServlet {
+
+    private static final long serialVersionUID = 1L;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final transient ConfigurationKeeper configuration;
+    private final transient DataCentres dataCentres;
+
+    /** Creates a servlet. */
+    @Inject
+    public ExplainServlet(ConfigurationKeeper configuration, DataCentres dataCentres) {
+        this.configuration = configuration;
+        this.dataCentres = dataCentres;
+    }
+
+    @Override
+    protected void doGet(HttpServletRequest request, HttpServletResponse response) throws IOException {
+        response.setContentType("application/json");
+        try {
+            FleetConfiguration current = configuration.current().configuration();
+            var account = current.accounts().get(request.getParameter("account"));
+            var route = current.routes().get(request.getParameter("route"));
+            if (account == null || route == null) {
+                response.setStatus(HttpServletResponse.SC_NOT_FOUND);
+                response.getWriter().write("{\"message\":\"no such account or route\"}");
+                return;
+            }
+            List<DataCentreView> views = dataCentres.views(route.service(), current.allowedDataCentres(account, route));
+            JSON.writeValue(response.getWriter(), dataCentres.explain(views));
+        } catch (RequestFailedException e) {
+            response.setStatus(e.kind().status());
+            response.getWriter().write("{\"message\":\"" + e.kind().word() + "\"}");
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/CallerService.java
@@ -0,0 +1,232 @@
+package org.toucanlane.gateway.caller;
+
+import com.google.common.io.ByteStreams;
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import jakarta.ws.rs.core.HttpHeaders;
+import jakarta.ws.rs.core.Response;
+import java.io.IOException;
+import java.io.InputStream;
+import java.time.Duration;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.toucanlane.domain.account.ApiKey;
+import org.toucanlane.domain.account.ClientAccount;
+import org.toucanlane.domain.configuration.FleetConfiguration;
+import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.domain.outcome.RequestFailedException;
+import org.toucanlane.domain.route.Route;
+import org.toucanlane.gateway.GatewaySettings;
+import org.toucanlane.gateway.configuration.ConfigurationKeeper;
+import org.toucanlane.gateway.dispatch.Answer;
+import org.toucanlane.gateway.dispatch.GatewayRequest;
+import org.toucanlane.gateway.dispatch.RequestPipeline;
+import org.toucanlane.gateway.lifecycle.HostPhase;
+import org.toucanlane.gateway.lifecycle.RunningRequests;
+import org.toucanlane.gateway.telemetry.RequestMetrics;
+import org.toucanlane.gateway.telemetry.RequestRecord;
+
+/**
+ * Takes callers' requests: whose it is, which route it takes, where it may run, then the pipeline, then the answer.
+ *
+ * <p>Thread-safe.
+ */
+@Singleton
+public final class CallerService {
+
+    /** Longest request body, in bytes. */
+    static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+    private static final Logger LOG = LoggerFactory.getLogger(CallerService.class);
+
+    /** Charged for a call to a plain service. */
+    private static final long PLAIN_CALL_TOKENS = 1;
+
+    private static final String DATA_CENTRE_HEADER = "X-Data-Centre";
+
+    private final ConfigurationKeeper configuration;
+    private final KeyRing keys;
+    private final RequestPipeline pipeline;
+    private final RunningRequests running;
+    private final HostPhase phase;
+    private final RequestMetrics metrics;
+    private final Duration defaultTimeout;
+
+    /** Creates a service. */
+    @Inject
+    public CallerService(
+            ConfigurationKeeper configuration,
+            KeyRing keys,
+            RequestPipeline pipeline,
+            RunningRequests running,
+            HostPhase phase,
+            RequestMetrics metrics,
+            GatewaySettings settings) {
+        this.configuration = configuration;
+        this.keys = keys;
+        this.pipeline = pipeline;
+        this.running = running;
+        this.phase = phase;
+        this.metrics = metrics;
+        this.defaultTimeout = settings.requestTimeout();
+    }
+
+    /** Serves a request to a model. */
+    Response model(String path, HttpHeaders headers, InputStream body) {
+        return serve(headers, context -> {
+            byte[] bytes = readBody(body);
+            Caller caller = identify(context);
+            ModelRequest parsed = ModelRequest.parse(bytes);
+            Route route = configuration
+                    .current()
+                    .configuration()
+                    .routeForModel(parsed.model())
+                    .orElseThrow(() -> new RequestFailedException(
+                            ErrorKind.UNKNOWN_ROUTE, "no route serves the model \"" + parsed.model() + '"'));
+            GatewayRequest request = build(context, caller, route, "POST", path, bytes, parsed);
+            return new Prepared(request, parsed.promptTokens());
+        });
+    }
+
+    /** Serves a request to a plain service. */
+    Response plain(String service, String method, String path, String query, HttpHeaders headers, InputStream body) {
+        return serve(headers, context -> {
+            byte[] bytes = readBody(body);
+            Caller caller = identify(context);
+            Route route = configuration
+                    .current()
+                    .configuration()
+                    .routeForPath(service, path)
+                    .orElseThrow(() -> new RequestFailedException(
+                            ErrorKind.UNKNOWN_ROUTE, "no route serves " + path + " of \"" + service + '"'));
+            String target = query == null || query.isEmpty() ? path : path + '?' + query;
+            ModelRequest plain = new ModelRequest("", false, PLAIN_CALL_TOKENS, 0, "");
+            return new Prepared(build(context, caller, route, method, target, bytes, plain), PLAIN_CALL_TOKENS);
+        });
+    }
+
+    private Response serve(HttpHeaders headers, Preparation preparation) {
+        RequestRecord log = metrics.begin(CallerContext.newRequestId());
+        RunningRequest request = null;
+        try {
+            if (phase.isDraining()) {
+                throw new RequestFailedException(ErrorKind.LEAVING, "this host is shutting down");
+            }
+            CallerContext context = CallerContext.of(log.requestId(), headers);
+            Prepared prepared = preparation.prepare(context);
+            log.describe(prepared.request());
+            request = new RunningRequest(log, running.enter(prepared.request().keyId()));
+            Answer answer = pipeline.run(prepared.request(), prepared.promptTokens());
+            request.onWithdrawal(answer::close);
+            log.headCame(answer.dataCentre());
+            return toResponse(request, answer, prepared.request().streamed());
+        } catch (RequestFailedException e) {
+            return refuse(log, request, e);
+        } catch (RuntimeException e) {
+            LOG.error("request {} failed", log.requestId(), e);
+            return refuse(log, request, new RequestFailedException(ErrorKind.INTERNAL, "internal error", e));
+        }
+    }
+
+    private static Response refuse(RequestRecord log, RunningRequest request, RequestFailedException e) {
+        log.failed(e);
+        if (request == null) {
+            log.close();
+        } else {
+            request.close();
+        }
+        return Refusals.toResponse(log.requestId(), e);
+    }
+
+    private static Response toResponse(RunningRequest request, Answer answer, boolean streamed) {
+        return Response.status(answer.status())
+                .header(HttpHeaders.CONTENT_TYPE, answer.contentType())
+                .header(CallerContext.REQUEST_ID_HEADER, request.log().requestId())
+                .header(DATA_CENTRE_HEADER, answer.dataCentre())
+                .entity(new AnswerWriter(request, answer, streamed))
+                .build();
+    }
+
+    private static byte[] readBody(InputStream body) throws RequestFailedException {
+        try {
+            byte[] bytes = ByteStreams.limit(body, MAX_BODY_BYTES + 1L).readAllBytes();
+            if (bytes.length > MAX_BODY_BYTES) {
+                throw new RequestFailedException(
+                        ErrorKind.REQUEST_TOO_LARGE, "the body is longer than " + MAX_BODY_BYTES + " bytes");
+            }
+            return bytes;
+        } catch (IOException e) {
+            throw new RequestFailedException(ErrorKind.INVALID_REQUEST, "the body did not arrive whole", e);
+        }
+    }
+
+    private Caller identify(CallerContext context) throws RequestFailedException {
+        if (!KeyRing.isPresented(context.authorization())) {
+            return new Caller("", null);
+        }
+        ApiKey key = keys.authenticate(context.authorization());
+        return new Caller(key.id(), keys.accountOf(key));
+    }
+
+    private GatewayRequest build(
+            CallerContext context,
+            Caller caller,
+            Route route,
+            String method,
+            String path,
+            byte[] body,
+            ModelRequest model)
+            throws RequestFailedException {
+        ClientAccount account = accountFor(caller, route);
+        if (route.idempotencyOf(method).isEmpty()) {
+            throw new RequestFailedException(ErrorKind.METHOD_NOT_ALLOWED, "the route does not take " + method);
+        }
+        FleetConfiguration current = configuration.current().configuration();
+        Set<String> allowed = current.allowedDataCentres(account, route);
+        if (allowed.isEmpty()) {
+            throw new RequestFailedException(
+                    ErrorKind.FORBIDDEN, "the account's and the route's residency have no data centre in common");
+        }
+        return new GatewayRequest(
+                context.requestId(),
+                account,
+                caller.keyId(),
+                route,
+                method,
+                path,
+                context.contentType(),
+                context.accept(),
+                body,
+                model.totalTokens(),
+                model.affinity(),
+                model.streamed(),
+                allowed,
+                context.idempotencyKey(),
+                System.nanoTime() + context.timeout().orElse(defaultTimeout).toNanos());
+    }
+
+    private static ClientAccount accountFor(Caller caller, Route route) throws RequestFailedException {
+        if (caller.account() != null) {
+            if (!route.allows(caller.account().name())) {
+                throw new RequestFailedException(ErrorKind.FORBIDDEN, "the account may not use this route");
+            }
+            return caller.account();
+        }
+        if (!route.open()) {
+            throw new RequestFailedException(ErrorKind.UNAUTHENTICATED, "the route needs a key");
+        }
+        return OpenAccount.of(route);
+    }
+
+    /** Turns headers and body into a request. */
+    @FunctionalInterface
+    private interface Preparation {
+        Prepared prepare(CallerContext context) throws RequestFailedException;
+    }
+
+    private record Prepared(GatewayRequest request, long promptTokens) {}
+
+    /** Whose request it is; the account is null if no key was presented. */
+    private record Caller(String keyId, ClientAccount account) {}
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/HealthResource.java
@@ -0,0 +1,53 @@
+package org.toucanlane.gateway.caller;
+
+import jakarta.inject.Inject;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import org.toucanlane.gateway.configuration.ConfigurationKeeper;
+import org.toucanlane.gateway.lifecycle.HostPhase;
+
+/** Whether the process lives and whether it takes work. Thread-safe. */
+@Path("/health")
+@Produces(MediaType.APPLICATION_JSON)
+public final class HealthResource {
+
+    private final ConfigurationKeeper configuration;
+    private final HostPhase phase;
+
+    /** Creates a resource. */
+    @Inject
+    public HealthResource(ConfigurationKeeper configuration, HostPhase phase) {
+        this.configuration = configuration;
+        this.phase = phase;
+    }
+
+    /** Answers as long as the process runs. */
+    @GET
+    @Path("/live")
+    public Response live() {
+        return Response.ok("{\"live\":true}").build();
+    }
+
+    /** Answers 200 if the host takes work, else 503 with the reason. */
+    @GET
+    @Path("/ready")
+    public Response ready() {
+        if (phase.isLeaving()) {
+            return notReady("the host is leaving");
+        }
+        if (configuration.version() == 0) {
+            return notReady("no configuration has reached this host yet, from the store or from a peer");
+        }
+        return Response.ok("{\"ready\":true,\"configurationVersion\":" + configuration.version() + '}')
+                .build();
+    }
+
+    private static Response notReady(String reason) {
+        return Response.status(Response.Status.SERVICE_UNAVAILABLE)
+                .entity("{\"ready\":false,\"reason\":\"" + reason + "\"}")
+                .build();
+    }
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/ModelRequest.java
@@ -0,0 +1,101 @@
+package org.toucanlane.gateway.caller;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.hash.Hashing;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.domain.outcome.RequestFailedException;
+
+/**
+ * What the system needs to know of the body of a request to a model; the body itself is passed on as it came.
+ *
+ * @param model name of the model
+ * @param streamed whether the answer is a stream of events
+ * @param promptTokens estimate of the prompt's tokens
+ * @param outputTokens bound on the generated tokens
+ * @param affinity hash of the start of the prompt
+ */
+record ModelRequest(String model, boolean streamed, long promptTokens, long outputTokens, String affinity) {
+
+    /** Bound on the generated tokens of a request that states none. */
+    static final long DEFAULT_OUTPUT_TOKENS = 512;
+
+    private static final int CHARACTERS_PER_TOKEN = 4;
+    private static final int AFFINITY_CHARACTERS = 256;
+    private static final long MAX_OUTPUT_TOKENS = 10_000_000;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    static ModelRequest parse(byte[] body) throws RequestFailedException {
+        JsonNode tree = readTree(body);
+        JsonNode model = tree.path("model");
+        if (!model.isTextual() || model.asText().isEmpty()) {
+            throw invalid("\"model\" must be a name");
+        }
+        String prompt = promptOf(tree);
+        long promptTokens = (prompt.length() + CHARACTERS_PER_TOKEN - 1) / CHARACTERS_PER_TOKEN;
+        String start = prompt.substring(0, Math.min(AFFINITY_CHARACTERS, prompt.length()));
+        String affinity = Hashing.murmur3_128()
+                .hashString(model.asText() + '\n' + start, StandardCharsets.UTF_8)
+                .toString();
+        return new ModelRequest(
+                model.asText(), tree.path("stream").asBoolean(false), promptTokens, outputBound(tree), affinity);
+    }
+
+    private static JsonNode readTree(byte[] body) throws RequestFailedException {
+        try {
+            JsonNode tree = JSON.readTree(body);
+            if (tree == null || !tree.isObject()) {
+                throw invalid("the body must be a JSON object");
+            }
+            return tree;
+        } catch (JsonProcessingException e) {
+            throw invalid("the body is not JSON: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw invalid("the body is not JSON");
+        }
+    }
+
+    private static RequestFailedException invalid(String message) {
+        return new RequestFailedException(ErrorKind.INVALID_REQUEST, message);
+    }
+
+    private static String promptOf(JsonNode tree) throws RequestFailedException {
+        StringBuilder prompt = new StringBuilder();
+        if (tree.path("messages").isArray()) {
+            tree.path("messages").forEach(message -> appendText(prompt, message.path("content")));
+        } else if (tree.has("prompt")) {
+            appendText(prompt, tree.path("prompt"));
+        } else {
+            throw invalid("\"messages\" or \"prompt\" is missing");
+        }
+        return prompt.toString();
+    }
+
+    private static void appendText(StringBuilder prompt, JsonNode content) {
+        if (content.isTextual()) {
+            prompt.append(content.asText());
+        } else {
+            content.forEach(part -> appendText(prompt, part.isObject() ? part.path("text") : part));
+        }
+    }
+
+    private static long outputBound(JsonNode tree) throws RequestFailedException {
+        JsonNode bound =
+                tree.has("max_completion_tokens") ? tree.path("max_completion_tokens") : tree.path("max_tokens");
+        if (bound.isMissingNode() || bound.isNull()) {
+            return DEFAULT_OUTPUT_TOKENS;
+        }
+        if (!bound.isIntegralNumber() || bound.asLong() < 1 || bound.asLong() > MAX_OUTPUT_TOKENS) {
+            throw invalid("\"max_tokens\" must be a whole number from 1 to " + MAX_OUTPUT_TOKENS);
+        }
+        return bound.asLong();
+    }
+
+    /** Returns the bound on all tokens that the request may use. */
+    long totalTokens() {
+        return Math.max(1, promptTokens + outputTokens);
+    }
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/ModelResource.java
@@ -0,0 +1,76 @@
+package org.toucanlane.gateway.caller;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import jakarta.inject.Inject;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.HeaderParam;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.core.Context;
+import jakarta.ws.rs.core.HttpHeaders;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import java.io.InputStream;
+import java.util.List;
+import org.toucanlane.domain.outcome.RequestFailedException;
+import org.toucanlane.gateway.configuration.ConfigurationKeeper;
+
+/** The OpenAI-compatible paths. Thread-safe. */
+@Path("/v1")
+public final class ModelResource {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final CallerService service;
+    private final KeyRing keys;
+    private final ConfigurationKeeper configuration;
+
+    /** Creates a resource. */
+    @Inject
+    public ModelResource(CallerService service, KeyRing keys, ConfigurationKeeper configuration) {
+        this.service = service;
+        this.keys = keys;
+        this.configuration = configuration;
+    }
+
+    /** Completes a chat. */
+    @POST
+    @Path("/chat/completions")
+    public Response chat(@Context HttpHeaders headers, InputStream body) {
+        return service.model("/v1/chat/completions", headers, body);
+    }
+
+    /** Completes a text. */
+    @POST
+    @Path("/completions")
+    public Response complete(@Context HttpHeaders headers, InputStream body) {
+        return service.model("/v1/completions", headers, body);
+    }
+
+    /** Lists the models that the key's account may use. */
+    @GET
+    @Path("/models")
+    public Response models(@HeaderParam(HttpHeaders.AUTHORIZATION) String authorization) {
+        try {
+            String account = keys.authenticate(authorization).account();
+            List<String> models = configuration.current().configuration().modelsFor(account);
+            return Response.ok(toList(models), MediaType.APPLICATION_JSON_TYPE).build();
+        } catch (RequestFailedException e) {
+            return Refusals.toResponse(CallerContext.newRequestId(), e);
+        }
+    }
+
+    private static String toList(List<String> models) {
+        ObjectNode list = JSON.createObjectNode();
+        list.put("object", "list");
+        ArrayNode data = list.putArray("data");
+        models.forEach(model -> data.addObject()
+                .put("id", model)
+                .put("object", "model")
+                .put("created", 0)
+                .put("owned_by", "toucanlane"));
+        return list.toString();
+    }
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/configuration/StoreWatcher.java
@@ -0,0 +1,114 @@
+package org.toucanlane.gateway.configuration;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Stream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.toucanlane.coordination.hash.RendezvousHash;
+import org.toucanlane.coordination.membership.Member;
+import org.toucanlane.coordination.store.KeyValueStore;
+import org.toucanlane.coordination.store.StoreException;
+import org.toucanlane.coordination.store.VersionedValue;
+import org.toucanlane.domain.configuration.Manifest;
+import org.toucanlane.gateway.GatewaySettings;
+import org.toucanlane.gateway.peer.PeerHub;
+
+/**
+ * Watches the platform's service for new versions of the configuration, if this host is one of the few of its data
+ * centre that do; the others hear of them from peers.
+ *
+ * <p>Runs on a thread of its own. After failures it waits for a jittered time that doubles up to a bound.
+ */
+@Singleton
+public final class StoreWatcher implements Runnable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(StoreWatcher.class);
+    private static final int WATCHERS_PER_DATA_CENTRE = 2;
+    private static final Duration WATCH = Duration.ofSeconds(10);
+    private static final long RECHECK_MILLIS = 1_000;
+    private static final long FIRST_BACKOFF_MILLIS = 200;
+    private static final long LONGEST_BACKOFF_MILLIS = 10_000;
+
+    private final GatewaySettings settings;
+    private final KeyValueStore store;
+    private final PeerHub peers;
+    private final ConfigurationKeeper keeper;
+    private long backoffMillis = FIRST_BACKOFF_MILLIS;
+
+    /** Creates a watcher. */
+    @Inject
+    public StoreWatcher(GatewaySettings settings, KeyValueStore store, PeerHub peers, ConfigurationKeeper keeper) {
+        this.settings = settings;
+        this.store = store;
+        this.peers = peers;
+        this.keeper = keeper;
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (!Thread.currentThread().isInterrupted()) {
+                if (!isWatcher()) {
+                    Thread.sleep(RECHECK_MILLIS);
+                } else {
+                    watchOnce();
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean isWatcher() {
+        List<String> hosts = Stream.concat(
+                        Stream.of(settings.host()),
+                        peers.membership().takingWork(settings.dataCentre()).stream()
+                                .map(Member::host))
+                .distinct()
+                .toList();
+        return RendezvousHash.rank(Manifest.STORE_KEY, hosts).stream()
+                .limit(WATCHERS_PER_DATA_CENTRE)
+                .anyMatch(settings.host()::equals);
+    }
+
+    private void watchOnce() throws InterruptedException {
+        try {
+            Optional<VersionedValue> changed = store.watch(Manifest.STORE_KEY, keeper.version(), WATCH);
+            if (changed.isPresent()) {
+                VersionedValue manifest = changed.get();
+                keeper.offer(manifest.revision(), manifest.value(), this::fetch);
+                if (keeper.version() < manifest.revision()) {
+                    backOff();
+                    return;
+                }
+            }
+            backoffMillis = FIRST_BACKOFF_MILLIS;
+        } catch (StoreException e) {
+            LOG.debug("the store did not answer", e);
+            backOff();
+        }
+    }
+
+    private String fetch(String hash) {
+        try {
+            return store.get(Manifest.chunkKey(hash))
+                    .map(chunk -> new String(chunk.value(), StandardCharsets.UTF_8))
+                    .orElse(null);
+        } catch (StoreException e) {
+            LOG.warn("document {} could not be fetched: {}", hash, e.getMessage());
+            return null;
+        }
+    }
+
+    private void backOff() throws InterruptedException {
+        long jitter = ThreadLocalRandom.current().nextLong(backoffMillis / 2 + 1);
+        Thread.sleep(backoffMillis / 2 + jitter);
+        backoffMillis = Math.min(LONGEST_BACKOFF_MILLIS, backoffMillis * 2);
+    }
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/EndpointSlot.java
@@ -0,0 +1,30 @@
+package org.toucanlane.gateway.dispatch;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.toucanlane.policy.queue.FairQueue;
+
+/** A place in the queue and the count of requests at one endpoint; given back once. Thread-safe. */
+final class EndpointSlot implements AutoCloseable {
+
+    private final EndpointState endpoint;
+    private final FairQueue.Place place;
+    private final AtomicBoolean closed = new AtomicBoolean();
+
+    EndpointSlot(EndpointState endpoint, FairQueue.Place place) {
+        this.endpoint = endpoint;
+        this.place = place;
+        endpoint.started();
+    }
+
+    void failed() {
+        endpoint.health().failed(System.nanoTime());
+    }
+
+    @Override
+    public void close() {
+        if (closed.compareAndSet(false, true)) {
+            endpoint.ended();
+            place.close();
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/RequestPipeline.java
@@ -0,0 +1,68 @@
+package org.toucanlane.gateway.dispatch;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.toucanlane.coordination.share.Charge;
+import org.toucanlane.coordination.share.ShareLedger;
+import org.toucanlane.coordination.share.ShortOfTokensException;
+import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.domain.outcome.RequestFailedException;
+import org.toucanlane.gateway.once.OnceGuard;
+
+/**
+ * The path of a request: admit, claim if it is a one-time action, dispatch, count.
+ *
+ * <p>Invariant: whatever was charged is settled exactly once, also when the request fails. Thread-safe.
+ */
+@Singleton
+public final class RequestPipeline {
+
+    private final ShareLedger ledger;
+    private final OnceGuard once;
+    private final Dispatcher dispatcher;
+
+    /** Creates a pipeline. */
+    @Inject
+    public RequestPipeline(ShareLedger ledger, OnceGuard once, Dispatcher dispatcher) {
+        this.ledger = ledger;
+        this.once = once;
+        this.dispatcher = dispatcher;
+    }
+
+    /**
+     * Returns the head of the request's answer; the caller closes it.
+     *
+     * @param promptTokens part of the request's tokens that its prompt takes
+     * @throws RequestFailedException if it is refused or failed
+     */
+    public Answer run(GatewayRequest request, long promptTokens) throws RequestFailedException {
+        Charge charge = admit(request);
+        boolean answered = false;
+        try {
+            Answer answer = once.run(request, () -> dispatcher.open(request));
+            answered = true;
+            return new MeteredAnswer(answer, charge, promptTokens, request.streamed());
+        } finally {
+            if (!answered) {
+                charge.settle(0);
+            }
+        }
+    }
+
+    private Charge admit(GatewayRequest request) throws RequestFailedException {
+        if (request.account().burstTokens() == 0) {
+            return Charge.free();
+        }
+        if (request.tokens() > request.account().burstTokens()) {
+            throw new RequestFailedException(
+                    ErrorKind.REQUEST_TOO_LARGE,
+                    "the request may use " + request.tokens() + " tokens, the account can hold "
+                            + request.account().burstTokens());
+        }
+        try {
+            return ledger.admit(request.account().name(), request.tokens());
+        } catch (ShortOfTokensException e) {
+            throw new RequestFailedException(ErrorKind.RATE_LIMITED, e.getMessage(), e.retryAfter(), e);
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/UsageScanner.java
@@ -0,0 +1,59 @@
+package org.toucanlane.gateway.dispatch;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.async.ByteArrayFeeder;
+import java.io.IOException;
+import java.util.OptionalLong;
+
+/**
+ * Finds {@code usage.total_tokens} in a JSON answer that passes by in pieces. An answer that isn't JSON has none. Not
+ * thread-safe.
+ */
+final class UsageScanner {
+
+    private static final JsonFactory FACTORY = new JsonFactory();
+
+    private final JsonParser parser;
+    private boolean readable = true;
+    private long totalTokens = -1;
+
+    UsageScanner() {
+        try {
+            parser = FACTORY.createNonBlockingByteArrayParser();
+        } catch (IOException e) {
+            throw new IllegalStateException("no parser", e);
+        }
+    }
+
+    void scan(byte[] bytes, int length) {
+        if (!readable) {
+            return;
+        }
+        try {
+            ByteArrayFeeder feeder = (ByteArrayFeeder) parser.getNonBlockingInputFeeder();
+            feeder.feedInput(bytes.clone(), 0, length);
+            JsonToken token = parser.nextToken();
+            while (token != null && token != JsonToken.NOT_AVAILABLE) {
+                inspect(token);
+                token = parser.nextToken();
+            }
+        } catch (IOException e) {
+            readable = false;
+        }
+    }
+
+    private void inspect(JsonToken token) throws IOException {
+        boolean total = token == JsonToken.VALUE_NUMBER_INT && "total_tokens".equals(parser.currentName());
+        boolean inUsage =
+                total && "usage".equals(parser.getParsingContext().getParent().getCurrentName());
+        if (inUsage) {
+            totalTokens = parser.getLongValue();
+        }
+    }
+
+    OptionalLong totalTokens() {
+        return totalTokens < 0 ? OptionalLong.empty() : OptionalLong.of(totalTokens);
+    }
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/lifecycle/RunningRequests.java
@@ -0,0 +1,77 @@
+package org.toucanlane.gateway.lifecycle;
+
+import jakarta.inject.Singleton;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Predicate;
+
+/**
+ * The requests that this process works on, so that they can be waited for and ended. Thread-safe.
+ */
+@Singleton
+public final class RunningRequests {
+
+    private final Set<Entry> entries = ConcurrentHashMap.newKeySet();
+
+    /** Adds a request that came with the key {@code keyId}; empty if it came without one. */
+    public Entry enter(String keyId) {
+        Entry entry = new Entry(keyId);
+        entries.add(entry);
+        return entry;
+    }
+
+    /** Returns how many there are. */
+    public int count() {
+        return entries.size();
+    }
+
+    /** Ends the requests whose key is no longer valid. */
+    public void endWithdrawn(Predicate<String> isValid) {
+        entries.stream()
+                .filter(entry -> !entry.keyId.isEmpty() && !isValid.test(entry.keyId))
+                .forEach(Entry::withdraw);
+    }
+
+    /** One request. */
+    public final class Entry implements AutoCloseable {
+
+        private final String keyId;
+        private final AtomicReference<Runnable> action = new AtomicReference<>();
+        private volatile boolean withdrawn;
+
+        private Entry(String keyId) {
+            this.keyId = keyId;
+        }
+
+        /** Sets how to end the request when its key is withdrawn; runs at once if it has been. */
+        public void onWithdrawal(Runnable end) {
+            action.set(end);
+            if (withdrawn) {
+                runAction();
+            }
+        }
+
+        private void withdraw() {
+            withdrawn = true;
+            runAction();
+        }
+
+        private void runAction() {
+            Runnable end = action.getAndSet(null);
+            if (end != null) {
+                end.run();
+            }
+        }
+
+        /** Returns whether the key was withdrawn while the request ran. */
+        public boolean isWithdrawn() {
+            return withdrawn;
+        }
+
+        @Override
+        public void close() {
+            entries.remove(this);
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/lifecycle/package-info.java
@@ -0,0 +1,2 @@
+/** Start, leave, and what runs in between. */
+package org.toucanlane.gateway.lifecycle;
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/once/KeptAnswer.java
@@ -0,0 +1,121 @@
+package org.toucanlane.gateway.once;
+
+import com.google.common.base.Preconditions;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.domain.outcome.RequestFailedException;
+import org.toucanlane.gateway.dispatch.Answer;
+
+/** A whole answer in memory, as it is kept for repeats. Read by one thread. */
+final class KeptAnswer implements Answer {
+
+    /** Longest body that is kept for repeats, in bytes. */
+    static final int MAX_KEPT_BYTES = 4 * 1024;
+
+    /** Longest body of a one-time action's answer, in bytes. */
+    private static final int MAX_BYTES = 8 * 1024 * 1024;
+
+    private static final int BUFFER_BYTES = 8 * 1024;
+
+    private final int status;
+    private final String contentType;
+    private final String dataCentre;
+    private final byte[] body;
+    private int position;
+
+    private KeptAnswer(int status, String contentType, String dataCentre, byte[] body) {
+        this.status = status;
+        this.contentType = contentType;
+        this.dataCentre = dataCentre;
+        this.body = body;
+    }
+
+    static KeptAnswer read(Answer answer) throws RequestFailedException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        byte[] buffer = new byte[BUFFER_BYTES];
+        int count = answer.read(buffer);
+        while (count >= 0) {
+            body.write(buffer, 0, count);
+            if (body.size() > MAX_BYTES) {
+                throw new RequestFailedException(ErrorKind.ANSWER_INCOMPLETE, "the answer is too long");
+            }
+            count = answer.read(buffer);
+        }
+        return new KeptAnswer(answer.status(), answer.contentType(), answer.dataCentre(), body.toByteArray());
+    }
+
+    /** Returns what is kept in place of an answer that is too long: that it ran, and with which status. */
+    static KeptAnswer tooLong(int status) {
+        byte[] body = "{\"ran\":\"ran\",\"message\":\"the first answer was too long to be kept\"}"
+                .getBytes(StandardCharsets.UTF_8);
+        return new KeptAnswer(status, "application/json", "", body);
+    }
+
+    boolean isShort() {
+        return body.length <= MAX_KEPT_BYTES;
+    }
+
+    byte[] encode() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeInt(status);
+            out.writeUTF(contentType);
+            out.writeUTF(dataCentre);
+            out.writeInt(body.length);
+            out.write(body);
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing to memory", e);
+        }
+        return bytes.toByteArray();
+    }
+
+    static KeptAnswer decode(byte[] bytes) throws RequestFailedException {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
+            int status = in.readInt();
+            String contentType = in.readUTF();
+            String dataCentre = in.readUTF();
+            int length = in.readInt();
+            Preconditions.checkArgument(length >= 0 && length <= MAX_BYTES, "length: %s", length);
+            return new KeptAnswer(status, contentType, dataCentre, in.readNBytes(length));
+        } catch (IOException | IllegalArgumentException e) {
+            throw new RequestFailedException(ErrorKind.REPEAT_UNRESOLVED, "the kept answer is unreadable", e);
+        }
+    }
+
+    @Override
+    public int status() {
+        return status;
+    }
+
+    @Override
+    public String contentType() {
+        return contentType;
+    }
+
+    @Override
+    public String dataCentre() {
+        return dataCentre;
+    }
+
+    @Override
+    public int read(byte[] buffer) {
+        if (position == body.length) {
+            return -1;
+        }
+        int count = Math.min(buffer.length, body.length - position);
+        System.arraycopy(body, position, buffer, 0, count);
+        position += count;
+        return count;
+    }
+
+    @Override
+    public void close() {
+        // Nothing is held open.
+    }
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/once/package-info.java
@@ -0,0 +1,2 @@
+/** One-time actions: at most one run for each idempotency key. */
+package org.toucanlane.gateway.once;
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** The host's daemon: wiring, settings and start-up. */
+package org.toucanlane.gateway;
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/LoanLinks.java
@@ -0,0 +1,69 @@
+package org.toucanlane.gateway.peer;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.toucanlane.coordination.share.LoanGrant;
+import org.toucanlane.coordination.share.LoanTransport;
+import org.toucanlane.wire.proto.LoanReply;
+import org.toucanlane.wire.proto.LoanRequest;
+import org.toucanlane.wire.proto.LoanReturn;
+
+/** Carries loans over the links between hosts. Thread-safe. */
+@Singleton
+public final class LoanLinks implements LoanTransport {
+
+    private final PeerHub peers;
+
+    /** Creates a transport over the hub's links. */
+    @Inject
+    public LoanLinks(PeerHub peers) {
+        this.peers = peers;
+    }
+
+    @Override
+    public Optional<LoanGrant> borrow(String lender, String loanId, String account, long tokens, Duration wait) {
+        LoanRequest request = LoanRequest.newBuilder()
+                .setLoanId(loanId)
+                .setAccount(account)
+                .setTokens(tokens)
+                .build();
+        try {
+            return peers.link(lender).isEmpty()
+                    ? Optional.empty()
+                    : peers.link(lender)
+                            .get()
+                            .borrow(request)
+                            .get(wait.toMillis(), TimeUnit.MILLISECONDS)
+                            .map(LoanLinks::toGrant);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Optional.empty();
+        } catch (ExecutionException | TimeoutException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static LoanGrant toGrant(LoanReply reply) {
+        return new LoanGrant(reply.getTokens(), Duration.ofMillis(reply.getValidMillis()));
+    }
+
+    @Override
+    public void giveBack(String lender, String loanId, String account, long unusedTokens) {
+        LoanReturn returned = LoanReturn.newBuilder()
+                .setLoanId(loanId)
+                .setAccount(account)
+                .setTokens(unusedTokens)
+                .build();
+        peers.link(lender).ifPresent(link -> link.giveBack(returned));
+    }
+
+    @Override
+    public boolean isReachable(String host) {
+        return peers.membership().state(host).takesWork() && peers.link(host).isPresent();
+    }
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/PeerHub.java
@@ -0,0 +1,140 @@
+package org.toucanlane.gateway.peer;
+
+import com.google.common.net.HostAndPort;
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.net.InetSocketAddress;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
+import org.toucanlane.coordination.clock.MonotonicClock;
+import org.toucanlane.coordination.membership.Member;
+import org.toucanlane.coordination.membership.MemberState;
+import org.toucanlane.coordination.membership.MembershipView;
+import org.toucanlane.gateway.GatewaySettings;
+import org.toucanlane.platform.hostlist.ListedHost;
+import org.toucanlane.wire.PeerIdentity;
+import org.toucanlane.wire.PeerLink;
+import org.toucanlane.wire.PeerNode;
+import org.toucanlane.wire.proto.Heartbeat;
+
+/**
+ * Links to the other hosts and what they said of themselves.
+ *
+ * <p>A peer gets work only while its heartbeats come, its link stands, and neither it nor the platform's list says that
+ * it is leaving. Thread-safe.
+ */
+@Singleton
+public final class PeerHub {
+
+    private static final double DEFAULT_ROUND_TRIP_MILLIS = 110;
+
+    private final PeerIdentity self;
+    private final MembershipView membership;
+    private final Map<String, Heartbeat> heartbeats = new ConcurrentHashMap<>();
+    private volatile Map<String, ListedHost> listed = Map.of();
+    private volatile PeerNode node;
+
+    /** Creates a hub without links. */
+    @Inject
+    public PeerHub(PeerIdentity self, GatewaySettings settings) {
+        this.self = self;
+        this.membership = new MembershipView(MonotonicClock.system(), settings.silentAfter());
+    }
+
+    /** Starts to use {@code started} for links. */
+    public void start(PeerNode started) {
+        node = started;
+    }
+
+    /** Takes in the platform's list: links to new hosts, no more links to hosts that have gone from it and are silent. */
+    public void listed(List<ListedHost> hosts) {
+        listed = hosts.stream().collect(Collectors.toUnmodifiableMap(ListedHost::name, host -> host));
+        PeerNode links = node;
+        if (links == null) {
+            return;
+        }
+        hosts.stream()
+                .filter(host -> !host.name().equals(self.host()))
+                .forEach(host -> links.connect(host.name(), toAddress(host.peerAddress())));
+        links.peers().stream()
+                .filter(peer -> !listed.containsKey(peer))
+                .filter(peer -> !membership.state(peer).takesWork())
+                .forEach(links::disconnect);
+    }
+
+    private static InetSocketAddress toAddress(String text) {
+        HostAndPort address = HostAndPort.fromString(text);
+        return new InetSocketAddress(address.getHost(), address.getPort());
+    }
+
+    /** Takes in a heartbeat. */
+    public void heard(PeerIdentity from, Heartbeat heartbeat) {
+        boolean current = membership.observe(new Member(
+                from.host(),
+                from.dataCentre(),
+                from.incarnation(),
+                heartbeat.getConfigurationVersion(),
+                heartbeat.getLeaving(),
+                System.nanoTime()));
+        if (current) {
+            heartbeats.put(from.host(), heartbeat);
+        }
+    }
+
+    /** Returns the hosts that were heard of. */
+    public MembershipView membership() {
+        return membership;
+    }
+
+    /** Returns the platform's last list, by name of the host. */
+    public Map<String, ListedHost> listed() {
+        return listed;
+    }
+
+    /** Returns whether {@code host} takes work. */
+    public boolean takesWork(String host) {
+        ListedHost entry = listed.get(host);
+        boolean listedAsLeaving = entry != null && entry.leaving();
+        return membership.state(host) == MemberState.ALIVE && !listedAsLeaving;
+    }
+
+    /** Returns the link to {@code host} if both sides have said hello on it. */
+    public Optional<PeerLink> link(String host) {
+        PeerNode links = node;
+        return links == null ? Optional.empty() : links.link(host).filter(PeerLink::isConnected);
+    }
+
+    /** Returns a link to a host of {@code dataCentre} that takes work: the less busy of two drawn at random. */
+    public Optional<PeerLink> linkInto(String dataCentre) {
+        List<PeerLink> usable = membership.takingWork(dataCentre).stream()
+                .filter(member -> takesWork(member.host()))
+                .flatMap(member -> link(member.host()).stream())
+                .toList();
+        if (usable.isEmpty()) {
+            return Optional.empty();
+        }
+        PeerLink first = usable.get(ThreadLocalRandom.current().nextInt(usable.size()));
+        PeerLink second = usable.get(ThreadLocalRandom.current().nextInt(usable.size()));
+        return Optional.of(runningCalls(first) <= runningCalls(second) ? first : second);
+    }
+
+    private int runningCalls(PeerLink link) {
+        Heartbeat heartbeat = heartbeats.get(link.peer());
+        return heartbeat == null ? 0 : heartbeat.getRunningCalls();
+    }
+
+    /** Returns the time for a message to {@code dataCentre} and back, in milliseconds. */
+    public double roundTripMillis(String dataCentre) {
+        return membership.takingWork(dataCentre).stream()
+                .flatMap(member -> link(member.host()).stream())
+                .map(link -> link.roundTrip().toNanos() / 1e6)
+                .filter(millis -> millis > 0)
+                .min(Comparator.naturalOrder())
+                .orElse(DEFAULT_ROUND_TRIP_MILLIS);
+    }
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/PeerMessages.java
@@ -0,0 +1,118 @@
+package org.toucanlane.gateway.peer;
+
+import com.google.protobuf.ByteString;
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.util.Optional;
+import org.toucanlane.coordination.share.LoanGrant;
+import org.toucanlane.coordination.share.ShareLedger;
+import org.toucanlane.domain.configuration.ConfigurationSnapshot;
+import org.toucanlane.gateway.configuration.ConfigurationKeeper;
+import org.toucanlane.gateway.dispatch.EndpointPools;
+import org.toucanlane.gateway.dispatch.EndpointState;
+import org.toucanlane.gateway.lifecycle.HostPhase;
+import org.toucanlane.wire.CallResponder;
+import org.toucanlane.wire.PeerHandler;
+import org.toucanlane.wire.PeerIdentity;
+import org.toucanlane.wire.proto.CallOpen;
+import org.toucanlane.wire.proto.Chunk;
+import org.toucanlane.wire.proto.ConfigurationReply;
+import org.toucanlane.wire.proto.ConfigurationRequest;
+import org.toucanlane.wire.proto.EndpointLoad;
+import org.toucanlane.wire.proto.Heartbeat;
+import org.toucanlane.wire.proto.LoanReply;
+import org.toucanlane.wire.proto.LoanRequest;
+import org.toucanlane.wire.proto.LoanReturn;
+
+/** What this host does with its peers' messages. Thread-safe. */
+@Singleton
+public final class PeerMessages implements PeerHandler {
+
+    private final PeerHub peers;
+    private final ConfigurationKeeper configuration;
+    private final ShareLedger ledger;
+    private final EndpointPools pools;
+    private final LoadReports loads;
+    private final PeerCallService calls;
+    private final HostPhase phase;
+
+    /** Creates a handler. */
+    @Inject
+    public PeerMessages(
+            PeerHub peers,
+            ConfigurationKeeper configuration,
+            ShareLedger ledger,
+            EndpointPools pools,
+            LoadReports loads,
+            PeerCallService calls,
+            HostPhase phase) {
+        this.peers = peers;
+        this.configuration = configuration;
+        this.ledger = ledger;
+        this.pools = pools;
+        this.loads = loads;
+        this.calls = calls;
+        this.phase = phase;
+    }
+
+    @Override
+    public void onHeartbeat(PeerIdentity from, Heartbeat heartbeat) {
+        peers.heard(from, heartbeat);
+        heartbeat.getLoadsList().forEach(this::takeIn);
+        configuration.peerHas(from.host(), heartbeat.getConfigurationVersion());
+    }
+
+    private void takeIn(EndpointLoad load) {
+        EndpointState state = pools.state(load.getEndpoint());
+        if (state != null) {
+            state.reported(load.getRunning(), load.getAvailable());
+        }
+    }
+
+    @Override
+    public Heartbeat heartbeat() {
+        return Heartbeat.newBuilder()
+                .setConfigurationVersion(configuration.version())
+                .setLeaving(phase.isLeaving())
+                .setRunningCalls(pools.running())
+                .addAllLoads(loads.observed())
+                .build();
+    }
+
+    @Override
+    public void onCall(PeerIdentity from, CallOpen call, CallResponder responder) {
+        calls.serve(call, responder);
+    }
+
+    @Override
+    public LoanReply onLoanRequest(PeerIdentity from, LoanRequest request) {
+        LoanGrant grant = ledger.lend(request.getLoanId(), request.getAccount(), request.getTokens());
+        return LoanReply.newBuilder()
+                .setLoanId(request.getLoanId())
+                .setTokens(grant.tokens())
+                .setValidMillis(grant.validity().toMillis())
+                .build();
+    }
+
+    @Override
+    public void onLoanReturn(PeerIdentity from, LoanReturn returned) {
+        ledger.takeBack(returned.getLoanId(), returned.getAccount(), returned.getTokens());
+    }
+
+    @Override
+    public ConfigurationReply onConfigurationRequest(PeerIdentity from, ConfigurationRequest request) {
+        Optional<ConfigurationSnapshot> snapshot = configuration.snapshot();
+        if (snapshot.isEmpty() || snapshot.get().version() <= request.getKnownVersion()) {
+            return ConfigurationReply.getDefaultInstance();
+        }
+        ConfigurationReply.Builder reply = ConfigurationReply.newBuilder()
+                .setVersion(snapshot.get().version())
+                .setManifest(ByteString.copyFrom(snapshot.get().manifestBytes()));
+        snapshot.get().chunks().forEach((hash, text) -> {
+            if (!request.getKnownChunksList().contains(hash)) {
+                reply.addChunks(Chunk.newBuilder().setHash(hash).setContent(ByteString.copyFromUtf8(text)));
+            }
+        });
+        return reply.build();
+    }
+}
--- /dev/null
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics and the log line of each request. */
+package org.toucanlane.gateway.telemetry;
--- /dev/null
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/endpoint/EndpointClient.java
@@ -0,0 +1,117 @@
+package org.toucanlane.platform.endpoint;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.SocketTimeoutException;
+import java.net.UnknownHostException;
+import java.time.Duration;
+import org.apache.hc.client5.http.ConnectTimeoutException;
+import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClientBuilder;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.util.Timeout;
+import org.toucanlane.domain.route.Idempotency;
+
+/**
+ * Sends requests to endpoints.
+ *
+ * <p>Invariants: a request is sent at most once; no header of the caller passes but the ones named in
+ * {@link EndpointRequest}. A call that may not be repeated gets a connection of its own, because on a kept one that the
+ * endpoint has just closed it could not be told whether the call arrived. Thread-safe.
+ */
+public final class EndpointClient implements AutoCloseable {
+
+    /** Header with the id of the request. */
+    public static final String REQUEST_ID_HEADER = "X-Request-Id";
+
+    /** Marks requests that passed through this system, so that one that comes back is known (RFC 9110, 7.6.3). */
+    private static final String VIA = "1.1 toucanlane";
+
+    private static final int MAX_CONNECTIONS = 4096;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration IDLE_CHECK = Duration.ofMillis(500);
+
+    private final CloseableHttpClient kept = builder().build();
+    private final CloseableHttpClient fresh = builder()
+            .setConnectionReuseStrategy((request, response, context) -> false)
+            .build();
+
+    private static HttpClientBuilder builder() {
+        return HttpClients.custom()
+                .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
+                        .setMaxConnPerRoute(MAX_CONNECTIONS)
+                        .setMaxConnTotal(MAX_CONNECTIONS)
+                        .setDefaultConnectionConfig(ConnectionConfig.custom()
+                                .setConnectTimeout(Timeout.of(CONNECT_TIMEOUT))
+                                .setValidateAfterInactivity(Timeout.of(IDLE_CHECK))
+                                .build())
+                        .build())
+                .disableAutomaticRetries()
+                .disableCookieManagement()
+                .disableAuthCaching()
+                .disableContentCompression()
+                .disableDefaultUserAgent()
+                .disableRedirectHandling();
+    }
+
+    /**
+     * Sends a request and returns when the head of its answer has come. The caller closes the answer.
+     *
+     * @throws EndpointException if no answer came
+     */
+    public EndpointAnswer send(EndpointRequest request) throws EndpointException {
+        HttpUriRequestBase http = toHttp(request);
+        CloseableHttpClient client = request.idempotency() == Idempotency.IDEMPOTENT ? kept : fresh;
+        try {
+            ClassicHttpResponse response = client.executeOpen(null, http, null);
+            return new EndpointAnswer(http, response);
+        } catch (ConnectException
+                | ConnectTimeoutException
+                | ConnectionRequestTimeoutException
+                | NoRouteToHostException
+                | UnknownHostException e) {
+            throw new EndpointException(EndpointException.Reason.NOT_SENT, "no connection to the endpoint", e);
+        } catch (SocketTimeoutException e) {
+            throw new EndpointException(EndpointException.Reason.TIMED_OUT, "the endpoint did not answer in time", e);
+        } catch (IOException e) {
+            throw new EndpointException(EndpointException.Reason.FAILED, "the connection to the endpoint failed", e);
+        }
+    }
+
+    private static HttpUriRequestBase toHttp(EndpointRequest request) {
+        HttpUriRequestBase http = new HttpUriRequestBase(request.method(), request.address());
+        http.setHeader(REQUEST_ID_HEADER, request.requestId());
+        http.setHeader(HttpHeaders.VIA, VIA);
+        if (!request.accept().isEmpty()) {
+            http.setHeader(HttpHeaders.ACCEPT, request.accept());
+        }
+        if (request.body().length > 0) {
+            ContentType type = request.contentType().isEmpty()
+                    ? ContentType.APPLICATION_OCTET_STREAM
+                    : ContentType.parseLenient(request.contentType());
+            http.setEntity(new ByteArrayEntity(request.body(), type));
+        }
+        http.setConfig(RequestConfig.custom()
+                .setConnectionRequestTimeout(Timeout.of(CONNECT_TIMEOUT))
+                .setResponseTimeout(Timeout.of(request.patience()))
+                .build());
+        return http;
+    }
+
+    @Override
+    public void close() throws IOException {
+        try (kept) {
+            fresh.close();
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** Calls to endpoints: model engines and plain services. */
+package org.toucanlane.platform.endpoint;
--- /dev/null
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/store/HttpKeyValueStore.java
@@ -0,0 +1,142 @@
+package org.toucanlane.platform.store;
+
+import com.google.common.base.Preconditions;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import org.apache.hc.client5.http.ConnectTimeoutException;
+import org.apache.hc.client5.http.classic.methods.HttpGet;
+import org.apache.hc.client5.http.classic.methods.HttpPut;
+import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.util.Timeout;
+import org.toucanlane.coordination.store.KeyValueStore;
+import org.toucanlane.coordination.store.StoreConflictException;
+import org.toucanlane.coordination.store.StoreException;
+import org.toucanlane.coordination.store.VersionedValue;
+
+/**
+ * The platform's key-value service over HTTP. Never repeats a call. Thread-safe.
+ */
+public final class HttpKeyValueStore implements KeyValueStore, AutoCloseable {
+
+    /** Header that carries a key's revision. */
+    public static final String REVISION_HEADER = "X-Revision";
+
+    private static final int MAX_CONNECTIONS = 64;
+    private static final int OK = 200;
+    private static final int NOT_MODIFIED = 304;
+    private static final int NOT_FOUND = 404;
+    private static final int PRECONDITION_FAILED = 412;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final Duration IDLE_CHECK = Duration.ofMillis(500);
+
+    private final URI base;
+    private final Duration timeout;
+    private final CloseableHttpClient client;
+
+    private HttpKeyValueStore(URI base, Duration timeout) {
+        this.base = Preconditions.checkNotNull(base, "base");
+        this.timeout = timeout;
+        ConnectionConfig connections = ConnectionConfig.custom()
+                .setConnectTimeout(Timeout.of(timeout))
+                .setValidateAfterInactivity(Timeout.of(IDLE_CHECK))
+                .build();
+        this.client = HttpClients.custom()
+                .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
+                        .setMaxConnPerRoute(MAX_CONNECTIONS)
+                        .setMaxConnTotal(MAX_CONNECTIONS)
+                        .setDefaultConnectionConfig(connections)
+                        .build())
+                .disableAutomaticRetries()
+                .disableCookieManagement()
+                .disableRedirectHandling()
+                .build();
+    }
+
+    /**
+     * Returns a client of the service at {@code base}.
+     *
+     * @param timeout longest wait for an answer; a watch waits longer by what it was told to
+     */
+    public static HttpKeyValueStore at(URI base, Duration timeout) {
+        return new HttpKeyValueStore(base, timeout);
+    }
+
+    @Override
+    public Optional<VersionedValue> get(String key) throws StoreException {
+        return read(new HttpGet(address(key, "")), timeout);
+    }
+
+    @Override
+    public Optional<VersionedValue> watch(String key, long after, Duration wait) throws StoreException {
+        String query = "?after=" + after + "&waitMillis=" + wait.toMillis();
+        return read(new HttpGet(address(key, query)), timeout.plus(wait));
+    }
+
+    private Optional<VersionedValue> read(HttpGet request, Duration wait) throws StoreException {
+        Answer answer = execute(request, wait);
+        return switch (answer.status()) {
+            case OK -> Optional.of(new VersionedValue(answer.revision(), answer.body()));
+            case NOT_FOUND, NOT_MODIFIED -> Optional.empty();
+            default -> throw StoreException.withoutEffect("the store answered " + answer.status(), null);
+        };
+    }
+
+    @Override
+    public long compareAndSwap(String key, byte[] value, long expected) throws StoreException, StoreConflictException {
+        HttpPut request = new HttpPut(address(key, "?expected=" + expected));
+        request.setEntity(new ByteArrayEntity(value, ContentType.APPLICATION_OCTET_STREAM));
+        Answer answer = execute(request, timeout);
+        return switch (answer.status()) {
+            case OK -> answer.revision();
+            case PRECONDITION_FAILED -> throw new StoreConflictException(key, expected, answer.revision());
+            case TOO_MANY_REQUESTS -> throw StoreException.withoutEffect("the store is over its rate", null);
+            default -> throw StoreException.ambiguous("the store answered " + answer.status(), null);
+        };
+    }
+
+    private URI address(String key, String query) {
+        return base.resolve("/v1/kv/" + URLEncoder.encode(key, StandardCharsets.UTF_8) + query);
+    }
+
+    private Answer execute(HttpUriRequestBase request, Duration wait) throws StoreException {
+        request.setConfig(RequestConfig.custom()
+                .setConnectionRequestTimeout(Timeout.of(timeout))
+                .setResponseTimeout(Timeout.of(wait))
+                .build());
+        try {
+            return client.execute(request, HttpKeyValueStore::toAnswer);
+        } catch (ConnectException | ConnectTimeoutException e) {
+            throw StoreException.withoutEffect("no connection to the store", e);
+        } catch (IOException e) {
+            throw StoreException.ambiguous("no answer from the store", e);
+        }
+    }
+
+    private static Answer toAnswer(ClassicHttpResponse response) throws IOException {
+        Header revision = response.getFirstHeader(REVISION_HEADER);
+        byte[] body = response.getEntity() == null ? new byte[0] : EntityUtils.toByteArray(response.getEntity());
+        return new Answer(response.getCode(), revision == null ? 0 : Long.parseLong(revision.getValue()), body);
+    }
+
+    @Override
+    public void close() throws IOException {
+        client.close();
+    }
+
+    private record Answer(int status, long revision, byte[] body) {}
+}
--- /dev/null
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/package-info.java
@@ -0,0 +1,2 @@
+/** Waiting for an endpoint, fair between client accounts. */
+package org.toucanlane.policy.queue;
--- /dev/null
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/retry/package-info.java
@@ -0,0 +1,2 @@
+/** When a failed call may be sent again. */
+package org.toucanlane.policy.retry;
--- /dev/null
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/routing/EndpointChoice.java
@@ -0,0 +1,31 @@
+package org.toucanlane.policy.routing;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A decision on an endpoint, with what spoke for it.
+ *
+ * @param endpoint the endpoint chosen; empty if none may be used
+ * @param reason why it won
+ * @param candidates each candidate's believed load, best first
+ */
+public record EndpointChoice(Optional<String> endpoint, Reason reason, List<EndpointView> candidates) {
+
+    /** Why an endpoint was chosen. */
+    public enum Reason {
+        /** It holds the cached start of the prompt and has room. */
+        AFFINITY,
+        /** It is the less loaded of two drawn at random. */
+        LEAST_OF_TWO,
+        /** It is the only one left. */
+        ONLY_ONE,
+        /** No endpoint may be used. */
+        NONE
+    }
+
+    /** Creates a decision. */
+    public EndpointChoice {
+        candidates = List.copyOf(candidates);
+    }
+}
--- /dev/null
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions on where a request runs. Pure: state in, decision out. */
+package org.toucanlane.policy.routing;
--- /dev/null
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/engine/EngineServer.java
@@ -0,0 +1,251 @@
+package org.toucanlane.standins.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.toucanlane.standins.http.SmallServer;
+
+/**
+ * A model engine that generates the words of its prompt over and over, in the time that its options give.
+ *
+ * <p>Generates exactly as many tokens as {@code max_tokens} says. Counts what it started, finished and lost to callers
+ * that went away, and every request that carried a header a key could be in. Thread-safe.
+ */
+public final class EngineServer implements AutoCloseable {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int DEFAULT_TOKENS = 16;
+    private static final int CHARACTERS_PER_TOKEN = 4;
+    private static final int PREFIX_CHARACTERS = 256;
+    private static final Set<String> KEY_HEADERS =
+            Set.of("authorization", "cookie", "x-api-key", "proxy-authorization");
+
+    private final EngineOptions options;
+    private final Semaphore slots;
+    private final SmallServer server;
+    private final AtomicInteger running = new AtomicInteger();
+    private final AtomicInteger waiting = new AtomicInteger();
+    private final AtomicLong started = new AtomicLong();
+    private final AtomicLong finished = new AtomicLong();
+    private final AtomicLong cancelled = new AtomicLong();
+    private final AtomicLong cacheHits = new AtomicLong();
+    private final AtomicLong keysSeen = new AtomicLong();
+    private final Map<String, Boolean> prefixes;
+    private final LaggingLoad load;
+    private volatile boolean leaving;
+
+    private EngineServer(int port, EngineOptions options) throws IOException {
+        this.options = options;
+        this.slots = new Semaphore(options.slots(), true);
+        this.prefixes = Collections.synchronizedMap(new LinkedHashMap<>(16, 0.75f, true) {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+                return size() > options.cachedPrefixes();
+            }
+        });
+        this.load = new LaggingLoad(options.loadLagMillis(), running::get, waiting::get);
+        this.server = SmallServer.start(port, this::handle);
+    }
+
+    /** Starts an engine on {@code port}. */
+    public static EngineServer start(int port, EngineOptions options) throws IOException {
+        return new EngineServer(port, options);
+    }
+
+    /** Returns the port listened on. */
+    public int port() {
+        return server.port();
+    }
+
+    private void handle(HttpExchange exchange) throws IOException, InterruptedException {
+        boolean carriesKey = exchange.getRequestHeaders().keySet().stream()
+                .anyMatch(name -> KEY_HEADERS.contains(name.toLowerCase(Locale.ROOT)));
+        if (carriesKey) {
+            keysSeen.incrementAndGet();
+        }
+        switch (exchange.getRequestURI().getPath()) {
+            case "/v1/chat/completions" -> complete(exchange, true);
+            case "/v1/completions" -> complete(exchange, false);
+            case "/load" ->
+                SmallServer.json(exchange, 200, load.report(!leaving).toString());
+            case "/stats" -> SmallServer.json(exchange, 200, stats());
+            case "/leave" -> {
+                leaving = true;
+                SmallServer.json(exchange, 200, "{}");
+            }
+            default -> SmallServer.answer(exchange, 404, "text/plain", new byte[0]);
+        }
+    }
+
+    private String stats() {
+        return JSON.createObjectNode()
+                .put("started", started.get())
+                .put("finished", finished.get())
+                .put("cancelled", cancelled.get())
+                .put("cacheHits", cacheHits.get())
+                .put("keysSeen", keysSeen.get())
+                .toString();
+    }
+
+    private void complete(HttpExchange exchange, boolean chat) throws IOException, InterruptedException {
+        JsonNode request = JSON.readTree(exchange.getRequestBody().readAllBytes());
+        Prompt prompt = Prompt.of(request);
+        started.incrementAndGet();
+        waiting.incrementAndGet();
+        slots.acquire();
+        waiting.decrementAndGet();
+        running.incrementAndGet();
+        try {
+            prefill(prompt);
+            Generation generation = new Generation(exchange, request, prompt, chat);
+            if (request.path("stream").asBoolean()) {
+                generation.stream();
+            } else {
+                generation.whole();
+            }
+            finished.incrementAndGet();
+        } catch (IOException e) {
+            cancelled.incrementAndGet();
+            throw e;
+        } finally {
+            running.decrementAndGet();
+            slots.release();
+        }
+    }
+
+    private void prefill(Prompt prompt) throws InterruptedException {
+        boolean hit = prefixes.put(prompt.start(), Boolean.TRUE) != null;
+        if (hit) {
+            cacheHits.incrementAndGet();
+        }
+        long tokens = hit ? prompt.tokens() / 10 : prompt.tokens();
+        TimeUnit.MICROSECONDS.sleep(tokens * options.prefillMicrosPerToken());
+    }
+
+    private long stepMicros() {
+        return options.stepMicros() + options.stepMicrosPerRunning() * running.get();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    /** A prompt and what the cache knows it by. */
+    private record Prompt(String text, int tokens, String start) {
+
+        static Prompt of(JsonNode request) {
+            StringBuilder text = new StringBuilder(request.path("prompt").asText(""));
+            request.path("messages")
+                    .forEach(message -> text.append(message.path("content").asText()));
+            String whole = text.toString();
+            return new Prompt(
+                    whole,
+                    Math.max(1, whole.length() / CHARACTERS_PER_TOKEN),
+                    whole.substring(0, Math.min(PREFIX_CHARACTERS, whole.length())));
+        }
+    }
+
+    /** One answer being generated. */
+    private final class Generation {
+
+        private final HttpExchange exchange;
+        private final JsonNode request;
+        private final Prompt prompt;
+        private final boolean chat;
+        private final int tokens;
+        private final String[] words;
+
+        Generation(HttpExchange exchange, JsonNode request, Prompt prompt, boolean chat) {
+            this.exchange = exchange;
+            this.request = request;
+            this.prompt = prompt;
+            this.chat = chat;
+            this.tokens = request.has("max_completion_tokens")
+                    ? request.path("max_completion_tokens").asInt()
+                    : request.path("max_tokens").asInt(DEFAULT_TOKENS);
+            this.words = prompt.text().isBlank()
+                    ? new String[] {"word"}
+                    : prompt.text().strip().split("\\s+");
+        }
+
+        private String word(int index) {
+            return words[index % words.length] + ' ';
+        }
+
+        void stream() throws IOException, InterruptedException {
+            exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+            exchange.sendResponseHeaders(200, 0);
+            OutputStream out = exchange.getResponseBody();
+            long next = System.nanoTime();
+            for (int i = 0; i < tokens; i++) {
+                next += TimeUnit.MICROSECONDS.toNanos(stepMicros());
+                TimeUnit.NANOSECONDS.sleep(next - System.nanoTime());
+                write(out, "data: " + chunk(word(i), i) + "\n\n");
+            }
+            write(out, "data: [DONE]\n\n");
+        }
+
+        private void write(OutputStream out, String text) throws IOException {
+            out.write(text.getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        }
+
+        private String chunk(String word, int index) {
+            ObjectNode chunk = head(chat ? "chat.completion.chunk" : "text_completion");
+            ObjectNode choice = chunk.putArray("choices").addObject();
+            choice.put("index", 0);
+            if (chat) {
+                choice.putObject("delta").put("role", "assistant").put("content", word);
+            } else {
+                choice.put("text", word);
+            }
+            choice.put("finish_reason", index == tokens - 1 ? "length" : null);
+            return chunk.toString();
+        }
+
+        void whole() throws IOException, InterruptedException {
+            StringBuilder text = new StringBuilder();
+            for (int i = 0; i < tokens; i++) {
+                TimeUnit.MICROSECONDS.sleep(stepMicros());
+                text.append(word(i));
+            }
+            ObjectNode answer = head(chat ? "chat.completion" : "text_completion");
+            ObjectNode choice = answer.putArray("choices").addObject();
+            choice.put("index", 0).put("finish_reason", "length");
+            if (chat) {
+                choice.putObject("message").put("role", "assistant").put("content", text.toString());
+            } else {
+                choice.put("text", text.toString());
+            }
+            answer.putObject("usage")
+                    .put("prompt_tokens", prompt.tokens())
+                    .put("completion_tokens", tokens)
+                    .put("total_tokens", prompt.tokens() + tokens);
+            SmallServer.json(exchange, 200, answer.toString());
+        }
+
+        private ObjectNode head(String object) {
+            return JSON.createObjectNode()
+                    .put("id", "gen-" + exchange.getRequestHeaders().getFirst("X-Request-Id"))
+                    .put("object", object)
+                    .put("created", 0)
+                    .put("model", request.path("model").asText());
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/Deployment.java
@@ -0,0 +1,370 @@
+package org.toucanlane.standins.fleet;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.io.Closer;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.toucanlane.cli.Main;
+import org.toucanlane.standins.engine.EngineOptions;
+import org.toucanlane.standins.engine.EngineServer;
+import org.toucanlane.standins.plain.PlainServer;
+import org.toucanlane.standins.platform.PlatformServer;
+import org.toucanlane.standins.proxy.FaultProxy;
+
+/**
+ * A whole deployment on loopback: every host a process, the outside world stand-ins of this process, and the
+ * fault-injecting proxy between hosts of different data centres and between each data centre and the platform.
+ *
+ * <p>Closing it ends all that it started. Not thread-safe.
+ */
+public final class Deployment implements AutoCloseable {
+
+    /** Name of the platform as a place in the proxy's links. */
+    public static final String PLATFORM = "platform";
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Duration START_TIME = Duration.ofSeconds(60);
+    private static final long POLL_MILLIS = 100;
+
+    private final Path work;
+    private final List<String> javaOptions;
+    private final EngineOptions engineOptions;
+    private final Closer closer = Closer.create();
+    private final FreePorts ports = new FreePorts();
+    private final FaultProxy proxy = new FaultProxy();
+    private final Map<String, EngineServer> engines = new LinkedHashMap<>();
+    private final Map<String, PlainServer> plains = new LinkedHashMap<>();
+    private final Map<String, HostProcess> hosts = new LinkedHashMap<>();
+    private final HttpClient client = HttpClient.newHttpClient();
+    private PlatformServer platform;
+    private ExampleFolders folders;
+    private Path secretFile;
+
+    private Deployment(Path work, EngineOptions engineOptions, List<String> javaOptions) {
+        this.work = work;
+        this.engineOptions = engineOptions;
+        this.javaOptions = List.copyOf(javaOptions);
+    }
+
+    /**
+     * Prepares a deployment and starts the stand-ins, but no host.
+     *
+     * @param example folder with service folders
+     * @param work empty folder for settings, logs and the working copy
+     * @param javaOptions options of the hosts' virtual machines
+     */
+    public static Deployment prepare(Path example, Path work, EngineOptions engineOptions, List<String> javaOptions)
+            throws IOException, InterruptedException {
+        Deployment deployment = new Deployment(work, engineOptions, javaOptions);
+        try {
+            deployment.prepareStandIns(example);
+            deployment.prepareHosts();
+            return deployment;
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            deployment.close();
+            throw e;
+        }
+    }
+
+    private void prepareStandIns(Path example) throws IOException {
+        closer.register(proxy::close);
+        platform = PlatformServer.start(0);
+        closer.register(platform::close);
+        secretFile = Files.writeString(work.resolve("key-secret"), "demonstration-secret\n");
+        folders = ExampleFolders.copy(example, work.resolve("services"), this::startEndpoint);
+    }
+
+    private int startEndpoint(ExampleFolders.EndpointEntry endpoint) throws IOException {
+        if (!endpoint.engine()) {
+            PlainServer plain = PlainServer.start(0);
+            plains.put(endpoint.name(), plain);
+            closer.register(plain::close);
+            return plain.port();
+        }
+        EngineServer engine = EngineServer.start(0, engineOptions);
+        engines.put(endpoint.name(), engine);
+        closer.register(engine::close);
+        return engine.port();
+    }
+
+    private void prepareHosts() throws IOException, InterruptedException {
+        for (ExampleFolders.HostEntry entry : folders.hosts()) {
+            HostProcess.Ports hostPorts = new HostProcess.Ports(ports.next(), ports.next(), ports.next());
+            Path settings = work.resolve(entry.name() + ".json");
+            Path log = work.resolve(entry.name() + ".log");
+            HostProcess host = new HostProcess(entry.name(), entry.dataCentre(), hostPorts, settings, log, javaOptions);
+            hosts.put(entry.name(), host);
+            closer.register(host::close);
+        }
+        Map<String, Integer> platformPorts = new LinkedHashMap<>();
+        for (HostProcess host : hosts.values()) {
+            if (!platformPorts.containsKey(host.dataCentre())) {
+                InetSocketAddress target = new InetSocketAddress("127.0.0.1", platform.port());
+                platformPorts.put(host.dataCentre(), proxy.carry(host.dataCentre(), PLATFORM, target));
+            }
+            writeSettings(host, platformPorts.get(host.dataCentre()));
+        }
+        listHosts();
+    }
+
+    private void writeSettings(HostProcess host, int platformPort) throws IOException {
+        ObjectNode settings = JSON.createObjectNode();
+        settings.put("host", host.name());
+        settings.put("dataCentre", host.dataCentre());
+        settings.put("peerListen", "127.0.0.1:" + host.ports().peer());
+        settings.put("store", "http://127.0.0.1:" + platformPort);
+        settings.put("hostList", "http://127.0.0.1:" + platformPort + "/for/" + host.name());
+        settings.put("keyHashSecretFile", secretFile.toString());
+        settings.put("announceLeaving", "2s");
+        ObjectNode server = settings.putObject("server");
+        server.put("maxThreads", 1024);
+        server.put("shutdownGracePeriod", "2s");
+        server.putArray("applicationConnectors")
+                .addObject()
+                .put("type", "http")
+                .put("bindHost", "127.0.0.1")
+                .put("port", host.ports().caller());
+        server.putArray("adminConnectors")
+                .addObject()
+                .put("type", "http")
+                .put("bindHost", "127.0.0.1")
+                .put("port", host.ports().admin());
+        server.putObject("requestLog").putArray("appenders");
+        ObjectNode logging = settings.putObject("logging");
+        logging.put("level", "INFO");
+        ObjectNode appender = logging.putArray("appenders").addObject();
+        appender.put("type", "console");
+        appender.putObject("layout").put("type", "json");
+        Files.writeString(
+                work.resolve(host.name() + ".json"),
+                JSON.writerWithDefaultPrettyPrinter().writeValueAsString(settings));
+    }
+
+    /** Tells the platform's list of hosts which there are, each under the addresses that its viewers reach it by. */
+    private void listHosts() throws IOException, InterruptedException {
+        ArrayNode list = JSON.createArrayNode();
+        for (HostProcess host : hosts.values()) {
+            ObjectNode entry = list.addObject();
+            entry.put("name", host.name());
+            entry.put("dataCentre", host.dataCentre());
+            entry.put("leaving", false);
+            entry.put("callerAddress", host.caller().toString());
+            entry.put("peerAddress", "127.0.0.1:" + host.ports().peer());
+            ObjectNode special = entry.putObject("peerAddressFor");
+            Map<String, Integer> fromDataCentre = new LinkedHashMap<>();
+            for (HostProcess viewer : hosts.values()) {
+                if (!viewer.dataCentre().equals(host.dataCentre())) {
+                    if (!fromDataCentre.containsKey(viewer.dataCentre())) {
+                        InetSocketAddress target =
+                                new InetSocketAddress("127.0.0.1", host.ports().peer());
+                        int port = proxy.carry(viewer.dataCentre(), host.dataCentre(), target);
+                        fromDataCentre.put(viewer.dataCentre(), port);
+                    }
+                    special.put(viewer.name(), "127.0.0.1:" + fromDataCentre.get(viewer.dataCentre()));
+                }
+            }
+        }
+        HttpRequest request = HttpRequest.newBuilder(platformAddress().resolve("/v1/hosts"))
+                .PUT(HttpRequest.BodyPublishers.ofString(list.toString()))
+                .build();
+        client.send(request, HttpResponse.BodyHandlers.discarding());
+    }
+
+    /** Sets the one-way delay between all data centres, and between all but {@code home} and the platform. */
+    public void delayBetweenDataCentres(long millis, String home) {
+        List<String> centres = dataCentres();
+        for (String from : centres) {
+            centres.stream().filter(to -> to.compareTo(from) > 0).forEach(to -> proxy.delay(from, to, millis));
+            proxy.delay(from, PLATFORM, from.equals(home) ? 0 : millis);
+        }
+    }
+
+    /** Returns the names of the data centres. */
+    public List<String> dataCentres() {
+        return hosts.values().stream().map(HostProcess::dataCentre).distinct().toList();
+    }
+
+    /** Starts all hosts. */
+    public void startHosts() throws IOException {
+        for (HostProcess host : hosts.values()) {
+            host.start();
+        }
+    }
+
+    /** Waits until all running hosts take work and see each other. */
+    public void awaitReady() throws InterruptedException {
+        List<HostProcess> running =
+                hosts.values().stream().filter(HostProcess::isRunning).toList();
+        for (HostProcess host : running) {
+            await("host " + host.name() + " to be ready, see " + host.log(), () -> seesPeers(host, running.size() - 1));
+        }
+    }
+
+    private boolean seesPeers(HostProcess host, int count) {
+        try {
+            if (get(host.caller().resolve("/health/ready")).statusCode() != 200) {
+                return false;
+            }
+            String status = get(host.admin().resolve("/status")).body();
+            long alive = JSON.readTree(status).findValues("state").stream()
+                    .filter(state -> state.asText().equals("alive"))
+                    .count();
+            return alive >= count;
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** Sends a GET without a key. */
+    public HttpResponse<String> get(URI address) throws IOException, InterruptedException {
+        return client.send(
+                HttpRequest.newBuilder(address).timeout(Duration.ofSeconds(5)).build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Waits until {@code condition} holds; throws if it does not within a minute. */
+    public static void await(String what, Condition condition) throws InterruptedException {
+        long end = System.nanoTime() + START_TIME.toNanos();
+        while (!condition.holds()) {
+            if (System.nanoTime() - end > 0) {
+                throw new IllegalStateException("waited in vain for " + what);
+            }
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+
+    /** Runs the operators' command line against this deployment. */
+    public CommandResult command(String... arguments) throws InterruptedException {
+        List<String> all = new ArrayList<>(List.of("--store", platformAddress().toString()));
+        hosts.values().stream()
+                .filter(HostProcess::isRunning)
+                .forEach(host -> all.addAll(List.of("--admin", host.admin().toString())));
+        all.addAll(List.of(arguments));
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ByteArrayOutputStream err = new ByteArrayOutputStream();
+        int exit = Main.run(
+                all.toArray(String[]::new),
+                new PrintStream(out, true, StandardCharsets.UTF_8),
+                new PrintStream(err, true, StandardCharsets.UTF_8));
+        return new CommandResult(exit, out.toString(StandardCharsets.UTF_8), err.toString(StandardCharsets.UTF_8));
+    }
+
+    /** Publishes the working copy of the service folders. */
+    public CommandResult publish() throws InterruptedException {
+        return command("publish", "--wait", folders.root().toString());
+    }
+
+    /** Issues a key for {@code account}; publishing puts it into force. */
+    public String issueKey(String account) throws InterruptedException {
+        CommandResult result = command(
+                "key",
+                "--account",
+                account,
+                "--secret-file",
+                secretFile.toString(),
+                "issue",
+                folders.root().toString());
+        if (result.exitCode() != 0) {
+            throw new IllegalStateException(result.errors());
+        }
+        return result.output().strip();
+    }
+
+    /** Takes a key out of the working copy; publishing withdraws it. */
+    public void withdrawKey(String key) throws InterruptedException {
+        CommandResult result =
+                command("key", "withdraw", key.split("-")[1], folders.root().toString());
+        if (result.exitCode() != 0) {
+            throw new IllegalStateException(result.errors());
+        }
+    }
+
+    /** Returns the platform's base address, not through the proxy. */
+    public URI platformAddress() {
+        return URI.create("http://127.0.0.1:" + platform.port());
+    }
+
+    /** Returns the platform. */
+    public PlatformServer platform() {
+        return platform;
+    }
+
+    /** Returns the proxy. */
+    public FaultProxy proxy() {
+        return proxy;
+    }
+
+    /** Returns the hosts by name. */
+    public Map<String, HostProcess> hosts() {
+        return hosts;
+    }
+
+    /** Returns the hosts of one data centre. */
+    public List<HostProcess> hostsIn(String dataCentre) {
+        return hosts.values().stream()
+                .filter(host -> host.dataCentre().equals(dataCentre))
+                .toList();
+    }
+
+    /** Returns the model engines by name. */
+    public Map<String, EngineServer> engines() {
+        return engines;
+    }
+
+    /** Returns the plain services by name. */
+    public Map<String, PlainServer> plains() {
+        return plains;
+    }
+
+    /** Returns the working copy of the service folders. */
+    public ExampleFolders folders() {
+        return folders;
+    }
+
+    @Override
+    public void close() {
+        try {
+            closer.close();
+        } catch (IOException e) {
+            throw new IllegalStateException("not everything was closed", e);
+        }
+    }
+
+    /** Names of the running hosts, for messages. */
+    @Override
+    public String toString() {
+        return hosts.values().stream()
+                .filter(HostProcess::isRunning)
+                .map(HostProcess::name)
+                .collect(Collectors.joining(", "));
+    }
+
+    /** Something to wait for. */
+    @FunctionalInterface
+    public interface Condition {
+        boolean holds() throws InterruptedException;
+    }
+
+    /** What a command printed and how it ended. */
+    public record CommandResult(int exitCode, String output, String errors) {}
+}
--- /dev/null
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/HostProcess.java
@@ -0,0 +1,132 @@
+package org.toucanlane.standins.fleet;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A host's daemon as a process of its own, with the means to stop, freeze and kill it. Not thread-safe.
+ */
+public final class HostProcess implements AutoCloseable {
+
+    private static final long STOP_SECONDS = 60;
+
+    private final String name;
+    private final String dataCentre;
+    private final Ports ports;
+    private final Path settings;
+    private final Path log;
+    private final List<String> javaOptions;
+    private Process process;
+
+    HostProcess(String name, String dataCentre, Ports ports, Path settings, Path log, List<String> javaOptions) {
+        this.name = name;
+        this.dataCentre = dataCentre;
+        this.ports = ports;
+        this.settings = settings;
+        this.log = log;
+        this.javaOptions = List.copyOf(javaOptions);
+    }
+
+    /** Starts the process, anew if it has ended. */
+    public void start() throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(javaOptions);
+        command.add("-cp");
+        command.add(System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")));
+        command.add("org.toucanlane.gateway.GatewayMain");
+        command.add(settings.toString());
+        process = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .start();
+    }
+
+    /** Returns the host's name. */
+    public String name() {
+        return name;
+    }
+
+    /** Returns the host's data centre. */
+    public String dataCentre() {
+        return dataCentre;
+    }
+
+    /** Returns the base address for callers. */
+    public URI caller() {
+        return URI.create("http://127.0.0.1:" + ports.caller());
+    }
+
+    /** Returns the base address for operators. */
+    public URI admin() {
+        return URI.create("http://127.0.0.1:" + ports.admin());
+    }
+
+    Ports ports() {
+        return ports;
+    }
+
+    /** Returns the process's id. */
+    public long pid() {
+        return process.pid();
+    }
+
+    /** Returns the file that the process logs to. */
+    public Path log() {
+        return log;
+    }
+
+    /** Returns whether the process runs. */
+    public boolean isRunning() {
+        return process != null && process.isAlive();
+    }
+
+    /** Kills the process at once. */
+    public void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    /** Stops the process as planned and returns whether it ended in time. */
+    public boolean stop() throws InterruptedException {
+        process.destroy();
+        return process.waitFor(STOP_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Asks the process to stop as planned, without waiting. */
+    public void beginStop() {
+        process.destroy();
+    }
+
+    /** Freezes the process. */
+    public void freeze() throws IOException, InterruptedException {
+        signal("STOP");
+    }
+
+    /** Lets a frozen process go on. */
+    public void thaw() throws IOException, InterruptedException {
+        signal("CONT");
+    }
+
+    private void signal(String signal) throws IOException, InterruptedException {
+        int exit = new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                .start()
+                .waitFor();
+        if (exit != 0) {
+            throw new IOException("signal " + signal + " to " + name + " failed");
+        }
+    }
+
+    @Override
+    public void close() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
+    /** Ports of one host. */
+    record Ports(int caller, int admin, int peer) {}
+}
--- /dev/null
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/http/SmallServer.java
@@ -0,0 +1,99 @@
+package org.toucanlane.standins.http;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** An HTTP server on loopback with a thread for each request. Thread-safe. */
+public final class SmallServer implements AutoCloseable {
+
+    private static final int BACKLOG = 1024;
+
+    private final HttpServer server;
+    private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
+        Thread thread = new Thread(task);
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    static {
+        System.setProperty("sun.net.httpserver.nodelay", "true");
+        System.setProperty("sun.net.httpserver.maxIdleConnections", "10000");
+    }
+
+    private SmallServer(HttpServer server) {
+        this.server = server;
+        server.setExecutor(threads);
+    }
+
+    /** Starts a server on {@code port} of loopback; port 0 takes any free one. */
+    public static SmallServer start(int port, Handler handler) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", port), BACKLOG);
+        server.createContext("/", exchange -> serve(exchange, handler));
+        SmallServer started = new SmallServer(server);
+        server.start();
+        return started;
+    }
+
+    private static void serve(HttpExchange exchange, Handler handler) throws IOException {
+        try (exchange) {
+            handler.handle(exchange);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException e) {
+            answer(exchange, 500, "text/plain", e.toString().getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    /** Answers with a whole body. */
+    public static void answer(HttpExchange exchange, int status, String type, byte[] body) throws IOException {
+        exchange.getResponseHeaders().set("Content-Type", type);
+        exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
+        if (body.length > 0) {
+            exchange.getResponseBody().write(body);
+        }
+    }
+
+    /** Answers with a JSON text. */
+    public static void json(HttpExchange exchange, int status, String text) throws IOException {
+        answer(exchange, status, "application/json", text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns the parameters of the query. */
+    public static Map<String, String> query(HttpExchange exchange) {
+        Map<String, String> parameters = new TreeMap<>();
+        String query = exchange.getRequestURI().getRawQuery();
+        if (query != null) {
+            for (String pair : query.split("&")) {
+                int split = pair.indexOf('=');
+                parameters.put(
+                        pair.substring(0, split), URLDecoder.decode(pair.substring(split + 1), StandardCharsets.UTF_8));
+            }
+        }
+        return parameters;
+    }
+
+    /** Returns the port listened on. */
+    public int port() {
+        return server.getAddress().getPort();
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        threads.shutdownNow();
+    }
+
+    /** Handles one request. */
+    @FunctionalInterface
+    public interface Handler {
+        void handle(HttpExchange exchange) throws IOException, InterruptedException;
+    }
+}
--- /dev/null
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/http/package-info.java
@@ -0,0 +1,2 @@
+/** A small HTTP server for the stand-ins. */
+package org.toucanlane.standins.http;
--- /dev/null
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/plain/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of a plain service that counts what it ran. */
+package org.toucanlane.standins.plain;
--- /dev/null
+++ b/toucanlane-wire/src/main/java/org/toucanlane/wire/PeerLink.java
@@ -0,0 +1,296 @@
+package org.toucanlane.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.toucanlane.wire.proto.CallOpen;
+import org.toucanlane.wire.proto.ConfigurationReply;
+import org.toucanlane.wire.proto.ConfigurationRequest;
+import org.toucanlane.wire.proto.Frame;
+import org.toucanlane.wire.proto.LoanReply;
+import org.toucanlane.wire.proto.LoanRequest;
+import org.toucanlane.wire.proto.LoanReturn;
+
+/**
+ * A connection to one peer, made again with jittered back-off whenever it is lost.
+ *
+ * <p>Invariants: stream ids are never used twice by one link; nothing is sent before both sides have said hello and the
+ * peer is the host that was meant; a call is put on a connection at most once and never moved to another. Thread-safe.
+ */
+public final class PeerLink implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(PeerLink.class);
+    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+    private static final long FIRST_BACKOFF_MILLIS = 100;
+    private static final long LONGEST_BACKOFF_MILLIS = 5_000;
+    private static final int MISSED_HEARTBEATS = 5;
+
+    private final String peer;
+    private final InetSocketAddress address;
+    private final PeerIdentity self;
+    private final PeerHandler handler;
+    private final EventLoopGroup loops;
+    private final Optional<PeerTls> tls;
+    private final Duration heartbeatInterval;
+    private final AtomicLong nextStream = new AtomicLong();
+    private final Map<Long, PeerCall> calls = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<Frame>> replies = new ConcurrentHashMap<>();
+    private volatile Channel channel;
+    private volatile boolean closed;
+    private volatile long roundTripNanos;
+    private volatile long backoffMillis = FIRST_BACKOFF_MILLIS;
+
+    PeerLink(
+            String peer,
+            InetSocketAddress address,
+            PeerIdentity self,
+            PeerHandler handler,
+            EventLoopGroup loops,
+            Optional<PeerTls> tls,
+            Duration heartbeatInterval) {
+        this.peer = peer;
+        this.address = address;
+        this.self = self;
+        this.handler = handler;
+        this.loops = loops;
+        this.tls = tls;
+        this.heartbeatInterval = heartbeatInterval;
+    }
+
+    void connect() {
+        if (closed) {
+            return;
+        }
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel connection) {
+                        tls.ifPresent(keys -> connection.pipeline().addLast(keys.clientHandler(connection)));
+                        PeerProtocol.addCodecs(connection.pipeline());
+                        connection.pipeline().addLast(new LinkHandler());
+                    }
+                });
+        bootstrap.connect(address).addListener(result -> {
+            if (!result.isSuccess()) {
+                reconnectLater();
+            }
+        });
+    }
+
+    private void reconnectLater() {
+        if (closed || loops.isShuttingDown()) {
+            return;
+        }
+        long delay = backoffMillis / 2 + ThreadLocalRandom.current().nextLong(backoffMillis / 2 + 1);
+        backoffMillis = Math.min(LONGEST_BACKOFF_MILLIS, backoffMillis * 2);
+        loops.schedule(this::connect, delay, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the name of the peer. */
+    public String peer() {
+        return peer;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Returns whether both sides have said hello on the connection. */
+    public boolean isConnected() {
+        Channel current = channel;
+        return current != null && current.isActive();
+    }
+
+    /** Returns the time that the last heartbeat and its answer took, 0 before the first. */
+    public Duration roundTrip() {
+        return Duration.ofNanos(roundTripNanos);
+    }
+
+    /**
+     * Opens a call.
+     *
+     * @throws PeerCallException with reason {@code NOT_SENT} if there is no connection
+     */
+    public PeerCall call(CallOpen open) throws PeerCallException {
+        Channel current = channel;
+        if (current == null || !current.isActive()) {
+            throw PeerCallException.notSent("no connection to " + peer);
+        }
+        long stream = nextStream.incrementAndGet();
+        PeerCall call = new PeerCall(stream, current::writeAndFlush, () -> calls.remove(stream));
+        calls.put(stream, call);
+        current.writeAndFlush(
+                Frame.newBuilder().setStreamId(stream).setCallOpen(open).build());
+        if (!current.isActive()) {
+            call.lost();
+        }
+        return call;
+    }
+
+    /** Asks for a loan; the future is empty if there is no connection or it is lost. */
+    public CompletableFuture<Optional<LoanReply>> borrow(LoanRequest request) {
+        return ask(Frame.newBuilder().setLoanRequest(request))
+                .thenApply(reply -> reply.filter(Frame::hasLoanReply).map(Frame::getLoanReply));
+    }
+
+    /** Gives a loan back, if there is a connection. */
+    public void giveBack(LoanReturn returned) {
+        Channel current = channel;
+        if (current != null) {
+            current.writeAndFlush(Frame.newBuilder()
+                    .setStreamId(nextStream.incrementAndGet())
+                    .setLoanReturn(returned)
+                    .build());
+        }
+    }
+
+    /** Asks for the configuration; the future is empty if there is no connection or it is lost. */
+    public CompletableFuture<Optional<ConfigurationReply>> configuration(ConfigurationRequest request) {
+        return ask(Frame.newBuilder().setConfigurationRequest(request))
+                .thenApply(reply -> reply.filter(Frame::hasConfigurationReply).map(Frame::getConfigurationReply));
+    }
+
+    private CompletableFuture<Optional<Frame>> ask(Frame.Builder request) {
+        Channel current = channel;
+        if (current == null || !current.isActive()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        long stream = nextStream.incrementAndGet();
+        CompletableFuture<Frame> reply = new CompletableFuture<>();
+        replies.put(stream, reply);
+        current.writeAndFlush(request.setStreamId(stream).build());
+        if (!current.isActive()) {
+            reply.completeExceptionally(PeerCallException.broken("the connection was lost"));
+        }
+        return reply.handle((frame, failure) -> {
+            replies.remove(stream);
+            return Optional.ofNullable(frame);
+        });
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        Channel current = channel;
+        if (current != null) {
+            current.close();
+        }
+        loseAll();
+    }
+
+    private void loseAll() {
+        calls.values().forEach(PeerCall::lost);
+        calls.clear();
+        PeerCallException lost = PeerCallException.broken("the connection was lost");
+        replies.values().forEach(reply -> reply.completeExceptionally(lost));
+        replies.clear();
+    }
+
+    /** Reads one connection. */
+    private final class LinkHandler extends SimpleChannelInboundHandler<Frame> {
+
+        private PeerIdentity remote;
+        private int unanswered;
+        private long beatAt;
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            context.writeAndFlush(Frame.newBuilder().setHello(self.toHello()).build());
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+            if (remote == null) {
+                greet(context, frame);
+                return;
+            }
+            switch (frame.getBodyCase()) {
+                case HEARTBEAT -> {
+                    unanswered = 0;
+                    roundTripNanos = System.nanoTime() - beatAt;
+                    handler.onHeartbeat(remote, frame.getHeartbeat());
+                }
+                case CALL_HEAD, CALL_DATA, CALL_END -> deliver(frame);
+                case LOAN_REPLY, CONFIGURATION_REPLY -> {
+                    CompletableFuture<Frame> reply = replies.remove(frame.getStreamId());
+                    if (reply != null) {
+                        reply.complete(frame);
+                    }
+                }
+                default -> LOG.debug("dropped {} from {}", frame.getBodyCase(), peer);
+            }
+        }
+
+        private void deliver(Frame frame) {
+            PeerCall call = calls.get(frame.getStreamId());
+            if (call != null) {
+                call.deliver(frame);
+            }
+        }
+
+        private void greet(ChannelHandlerContext context, Frame frame) {
+            boolean expected = frame.hasHello()
+                    && frame.getHello().getProtocolVersion() == PeerProtocol.VERSION
+                    && frame.getHello().getHost().equals(peer);
+            if (!expected) {
+                LOG.warn("{} at {} is not the host that was meant, or speaks another version", peer, address);
+                context.close();
+                return;
+            }
+            remote = PeerIdentity.from(frame.getHello());
+            channel = context.channel();
+            backoffMillis = FIRST_BACKOFF_MILLIS;
+            beat(context);
+        }
+
+        private void beat(ChannelHandlerContext context) {
+            if (!context.channel().isActive()) {
+                return;
+            }
+            if (unanswered++ >= MISSED_HEARTBEATS) {
+                context.close();
+                return;
+            }
+            beatAt = System.nanoTime();
+            context.writeAndFlush(
+                    Frame.newBuilder().setHeartbeat(handler.heartbeat()).build());
+            context.executor().schedule(() -> beat(context), heartbeatInterval.toMillis(), TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (channel == context.channel()) {
+                channel = null;
+                loseAll();
+            }
+            reconnectLater();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOG.debug("connection to {} failed", peer, cause);
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-wire/src/main/java/org/toucanlane/wire/PeerServer.java
@@ -0,0 +1,183 @@
+package org.toucanlane.wire;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.toucanlane.wire.proto.Frame;
+
+/**
+ * Accepts peers' connections and hands their messages to a handler. Thread-safe.
+ */
+final class PeerServer implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(PeerServer.class);
+    private static final String OVERLOADED = "OVERLOADED";
+    private static final long OVERLOAD_RETRY_MILLIS = 500;
+
+    private final PeerIdentity self;
+    private final PeerHandler handler;
+    private final Executor callExecutor;
+    private final Channel listener;
+
+    PeerServer(
+            InetSocketAddress address,
+            PeerIdentity self,
+            PeerHandler handler,
+            EventLoopGroup loops,
+            Optional<PeerTls> tls,
+            Executor callExecutor)
+            throws InterruptedException {
+        this.self = self;
+        this.handler = handler;
+        this.callExecutor = callExecutor;
+        this.listener = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel connection) {
+                        tls.ifPresent(keys -> connection.pipeline().addLast(keys.serverHandler(connection)));
+                        PeerProtocol.addCodecs(connection.pipeline());
+                        connection.pipeline().addLast(new ConnectionHandler());
+                    }
+                })
+                .bind(address)
+                .sync()
+                .channel();
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    @Override
+    public void close() {
+        listener.close().syncUninterruptibly();
+    }
+
+    /** Reads one connection. */
+    private final class ConnectionHandler extends SimpleChannelInboundHandler<Frame> {
+
+        private final Map<Long, CallResponder> calls = new ConcurrentHashMap<>();
+        private PeerIdentity remote;
+        private long newestCall;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+            if (remote == null) {
+                greet(context, frame);
+                return;
+            }
+            switch (frame.getBodyCase()) {
+                case HEARTBEAT -> {
+                    handler.onHeartbeat(remote, frame.getHeartbeat());
+                    reply(context, 0, Frame.newBuilder().setHeartbeat(handler.heartbeat()));
+                }
+                case CALL_OPEN -> open(context, frame);
+                case CALL_CREDIT -> credit(frame);
+                case CALL_CANCEL -> cancel(frame.getStreamId());
+                case LOAN_REQUEST ->
+                    reply(
+                            context,
+                            frame.getStreamId(),
+                            Frame.newBuilder().setLoanReply(handler.onLoanRequest(remote, frame.getLoanRequest())));
+                case LOAN_RETURN -> handler.onLoanReturn(remote, frame.getLoanReturn());
+                case CONFIGURATION_REQUEST ->
+                    reply(
+                            context,
+                            frame.getStreamId(),
+                            Frame.newBuilder()
+                                    .setConfigurationReply(
+                                            handler.onConfigurationRequest(remote, frame.getConfigurationRequest())));
+                default -> LOG.debug("dropped {} from {}", frame.getBodyCase(), remote.host());
+            }
+        }
+
+        private void reply(ChannelHandlerContext context, long stream, Frame.Builder frame) {
+            context.writeAndFlush(frame.setStreamId(stream).build());
+        }
+
+        private void greet(ChannelHandlerContext context, Frame frame) {
+            if (!frame.hasHello() || frame.getHello().getProtocolVersion() != PeerProtocol.VERSION) {
+                LOG.warn("refused a connection that did not start with a hello of version {}", PeerProtocol.VERSION);
+                context.close();
+                return;
+            }
+            try {
+                remote = PeerIdentity.from(frame.getHello());
+            } catch (IllegalArgumentException e) {
+                LOG.warn("refused a malformed hello: {}", e.getMessage());
+                context.close();
+                return;
+            }
+            reply(context, 0, Frame.newBuilder().setHello(self.toHello()));
+        }
+
+        private void open(ChannelHandlerContext context, Frame frame) {
+            long stream = frame.getStreamId();
+            if (stream <= newestCall) {
+                LOG.warn("{} used stream {} twice", remote.host(), stream);
+                context.close();
+                return;
+            }
+            newestCall = stream;
+            CallResponder responder = new CallResponder(context.channel(), stream);
+            calls.put(stream, responder);
+            try {
+                callExecutor.execute(() -> serve(frame, responder));
+            } catch (RejectedExecutionException e) {
+                calls.remove(stream);
+                responder.fail(OVERLOADED, "too many calls from peers", OVERLOAD_RETRY_MILLIS);
+            }
+        }
+
+        private void serve(Frame frame, CallResponder responder) {
+            try {
+                handler.onCall(remote, frame.getCallOpen(), responder);
+            } finally {
+                calls.remove(frame.getStreamId());
+            }
+        }
+
+        private void credit(Frame frame) {
+            CallResponder responder = calls.get(frame.getStreamId());
+            if (responder != null) {
+                responder.credit(frame.getCallCredit().getBytes());
+            }
+        }
+
+        private void cancel(long stream) {
+            CallResponder responder = calls.get(stream);
+            if (responder != null) {
+                responder.cancel();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            calls.values().forEach(CallResponder::cancel);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOG.debug("connection from a peer failed", cause);
+            context.close();
+        }
+    }
+}
