Explore the share ledger and the claim log exhaustively

Cause: the two mechanisms that keep limits and one-time actions had no proof.

Change: an admission is now a sequence of steps without sending, so that the same code runs over the network and under exploration. Three hosts and two accounts, every order of admissions, messages delivered, lost or late, time, give-backs and restarts up to six actions; three hosts claiming one key, anyone acting at each store call of another, each write lost before, lost after, or arriving late. jqwik tests of moving shares and of a lossy fleet of eight against one bucket.

Each check is shown to find a control: a lender that forgets loans early, a restart that accrues at once, hosts that take up a moved share without waiting, a static division (refuses the demand that loans serve), swaps that do not compare. The first two controls were not found at first: the model's ticks were so coarse that a lender could not refill within six actions; with a rate of 20 and loans of 1.5 ticks they are. The claim test counted nested grants wrongly (a compound assignment read the count before the nested claim); mended before it was believed.

Before: no tests of either.

Conclusion: no order up to that depth overspends or grants twice. Deeper orders and more than one restarting host are not covered.

--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/AccountShare.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/AccountShare.java
@@ -127,10 +127,10 @@
     }
 
     /**
-     * Ends the entry {@code id} and credits {@code unusedTokens} of it as far as the bucket would hold them. Has no
-     * effect for an id that is unknown or already ended.
+     * Ends the entry {@code id} and credits {@code unusedTokens} of it, at most what was taken, as far as the bucket
+     * would hold them. Has no effect for an id that is unknown or already ended.
      *
-     * @throws IllegalArgumentException if {@code unusedTokens} is negative or more than was taken
+     * @throws IllegalArgumentException if {@code unusedTokens} is negative
      */
     public void giveBack(String id, long unusedTokens, long nowNanos) {
         Preconditions.checkArgument(unusedTokens >= 0, "unusedTokens must not be negative: %s", unusedTokens);
@@ -140,10 +140,8 @@
             if (entry == null) {
                 return;
             }
-            long unused = TokenAmounts.toUnits(unusedTokens);
-            Preconditions.checkArgument(unused <= entry.units, "gave back more than was taken: %s", unusedTokens);
-            long credit = creditOf(entry, unused);
-            freeUnits += credit;
+            long taken = TokenAmounts.wholeTokens(entry.units);
+            freeUnits += creditOf(entry, TokenAmounts.toUnits(Math.min(unusedTokens, taken)));
             recordLevel();
             if (open.isEmpty()) {
                 levels.forgetBefore(levels.now() - 1);
--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareLedger.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareLedger.java
@@ -2,7 +2,6 @@
 
 import com.google.common.base.Preconditions;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -108,41 +107,41 @@
      */
     public Charge admit(String account, long tokens) throws ShortOfTokensException {
         Preconditions.checkArgument(tokens > 0, "tokens must be positive: %s", tokens);
-        String id = host + '/' + incarnation + '/' + nextId.incrementAndGet();
-        List<Charge.Part> parts = new ArrayList<>();
-        long missing = tokens - takeOwn(account, id, tokens, parts);
-        if (missing > 0) {
-            long deadline = clock.nanos() + terms.borrowWait().toNanos();
-            for (HostShare lender : lenders(account)) {
-                if (missing > 0 && clock.nanos() < deadline) {
-                    missing -= borrow(account, id, missing, lender, parts);
-                }
-            }
-        }
-        Charge charge = Charge.of(parts);
-        if (missing > 0) {
-            charge.settle(0);
-            throw new ShortOfTokensException(
-                    "account " + account + " is short of " + missing + " of " + tokens + " tokens",
-                    accrualTime(account, missing));
+        Admission admission = begin(account, tokens);
+        long deadline = clock.nanos() + terms.borrowWait().toNanos();
+        Optional<Admission.Ask> ask = admission.nextAsk(clock.nanos());
+        while (ask.isPresent()) {
+            Admission.Ask asked = ask.get();
+            Duration wait = Duration.ofNanos(Math.max(0, deadline - clock.nanos()));
+            Optional<LoanGrant> grant =
+                    transport.borrow(asked.lender().host(), asked.id(), account, asked.tokens(), wait);
+            admission.answered(asked, grant, clock.nanos());
+            ask = clock.nanos() < deadline ? admission.nextAsk(clock.nanos()) : Optional.empty();
         }
-        return charge;
+        return admission.finish();
     }
 
-    private long takeOwn(String account, String id, long tokens, List<Charge.Part> parts) {
+    /** Begins an admission with what this host holds. */
+    Admission begin(String account, long tokens) {
+        Preconditions.checkArgument(tokens > 0, "tokens must be positive: %s", tokens);
+        return new Admission(this, account, host + '/' + incarnation + '/' + nextId.incrementAndGet(), tokens);
+    }
+
+    /** Takes up to {@code tokens} of this host's share. */
+    Optional<Charge.Part> takeOwn(String account, String id, long tokens) {
         AccountShare share = shares.get(account);
         if (share == null) {
-            return 0;
+            return Optional.empty();
         }
         long now = clock.nanos();
         long taken = share.lend(id, tokens, now, now);
-        if (taken > 0) {
-            parts.add(new Charge.Part(taken, unused -> share.giveBack(id, unused, clock.nanos())));
-        }
-        return taken;
+        return taken == 0
+                ? Optional.empty()
+                : Optional.of(new Charge.Part(taken, unused -> share.giveBack(id, unused, clock.nanos())));
     }
 
-    private List<HostShare> lenders(String account) {
+    /** Returns the holders to ask for a loan, those of this data centre first. */
+    List<HostShare> lenders(String account) {
         long now = clock.nanos();
         return table.holders(account).stream()
                 .filter(holder -> !holder.host().equals(host))
@@ -153,28 +152,20 @@
                 .toList();
     }
 
-    private long borrow(String account, String id, long tokens, HostShare lender, List<Charge.Part> parts) {
-        long sentAt = clock.nanos();
-        Optional<LoanGrant> grant = transport.borrow(lender.host(), id, account, tokens, terms.borrowWait());
-        if (grant.isEmpty()) {
-            transport.giveBack(lender.host(), id, account, tokens);
-            return 0;
-        }
-        long lent = Math.min(tokens, grant.get().tokens());
-        if (lent < tokens) {
-            shortUntil.put(new LenderKey(account, lender.host()), sentAt + pauseAfterShort(lender, tokens - lent));
-        }
-        long usableUntil =
-                sentAt + terms.borrowerValidity(grant.get().validity()).toNanos();
-        if (lent <= 0) {
-            return 0;
-        }
-        if (clock.nanos() - usableUntil >= 0) {
-            transport.giveBack(lender.host(), id, account, lent);
-            return 0;
-        }
-        parts.add(new Charge.Part(lent, unused -> transport.giveBack(lender.host(), id, account, unused)));
-        return lent;
+    /** Notes that a lender had fewer tokens than asked for, so that it is left alone until more have accrued. */
+    void lenderWasShort(String account, Admission.Ask ask, long missing) {
+        long pause = pauseAfterShort(ask.lender(), missing);
+        shortUntil.put(new LenderKey(account, ask.lender().host()), ask.sentAt() + pause);
+    }
+
+    /** Returns until when a loan may be spent, by this host's clock. */
+    long usableUntil(Admission.Ask ask, LoanGrant grant) {
+        return ask.sentAt() + terms.borrowerValidity(grant.validity()).toNanos();
+    }
+
+    /** Tells a lender that tokens of a loan were not spent. */
+    void giveBackLoan(Admission.Ask ask, long unused) {
+        transport.giveBack(ask.lender().host(), ask.id(), ask.account(), unused);
     }
 
     private long pauseAfterShort(HostShare lender, long missing) {
@@ -183,7 +174,8 @@
         return Math.min(terms.longestPause().toNanos(), nanos);
     }
 
-    private Duration accrualTime(String account, long missing) {
+    /** Returns in what time the account accrues {@code missing} tokens over all hosts. */
+    Duration accrualTime(String account, long missing) {
         long rate = Math.max(
                 1,
                 table.holders(account).stream()
--- /dev/null
+++ b/toucanlane-coordination/src/test/java/org/toucanlane/coordination/claim/ClaimLogTest.java
@@ -0,0 +1,115 @@
+package org.toucanlane.coordination.claim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import org.toucanlane.coordination.store.FaultyStore;
+import org.toucanlane.coordination.store.FaultyStore.Fault;
+
+class ClaimLogTest {
+
+    private static final ByteString KEY = ClaimLog.keyOf("account", "key");
+    private static final ByteString REQUEST = ByteString.copyFromUtf8("request");
+    private static final Duration KEEP = Duration.ofHours(1);
+
+    private final FaultyStore store = new FaultyStore();
+    private final AtomicLong wallMillis = new AtomicLong();
+    private final ClaimLog first = log("first");
+    private final ClaimLog second = log("second");
+
+    private ClaimLog log(String owner) {
+        return new ClaimLog(store, owner, 4, KEEP, Runnable::run, wallMillis::get);
+    }
+
+    private static Claim granted(CompletableFuture<ClaimResult> result) throws Exception {
+        return ((ClaimResult.Granted) result.get()).claim();
+    }
+
+    @Test
+    void aRepeatElsewhereFindsTheClaimHeldThenItsAnswer() throws Exception {
+        Claim claim = granted(first.claim(KEY, REQUEST));
+        assertThat(second.claim(KEY, REQUEST).get()).isEqualTo(new ClaimResult.Held("first"));
+        first.finish(claim, "done".getBytes(StandardCharsets.UTF_8)).get();
+        ClaimResult.Finished repeat =
+                (ClaimResult.Finished) second.claim(KEY, REQUEST).get();
+        assertThat(repeat.answer()).asString(StandardCharsets.UTF_8).isEqualTo("done");
+    }
+
+    @Test
+    void anotherRequestUnderTheSameKeyIsAMismatch() throws Exception {
+        granted(first.claim(KEY, REQUEST));
+        assertThat(second.claim(KEY, ByteString.copyFromUtf8("other")).get()).isEqualTo(new ClaimResult.Mismatch());
+    }
+
+    @Test
+    void aReleasedOrExpiredClaimIsFree() throws Exception {
+        first.release(granted(first.claim(KEY, REQUEST))).get();
+        granted(second.claim(KEY, REQUEST));
+        wallMillis.addAndGet(KEEP.toMillis() + 1);
+        granted(first.claim(KEY, REQUEST));
+    }
+
+    @Test
+    void theSameKeyOfAnotherAccountIsAnotherKey() {
+        assertThat(ClaimLog.keyOf("ab", "c")).isNotEqualTo(ClaimLog.keyOf("a", "bc"));
+    }
+
+    @Test
+    void aWriteWhoseAnswerWasLostIsFoundByItsToken() throws Exception {
+        AtomicInteger writes = new AtomicInteger();
+        store.follow(write -> write && writes.getAndIncrement() == 0 ? Fault.LOST_AFTER : Fault.NONE);
+        granted(first.claim(KEY, REQUEST));
+        assertThat(writes).as("the write is not made again").hasValue(1);
+    }
+
+    @Test
+    void aStoreThatNeverAnswersFailsTheAttempt() {
+        store.follow(write -> Fault.LOST_BEFORE);
+        assertThatThrownBy(() -> first.claim(KEY, REQUEST).get()).isInstanceOf(ExecutionException.class);
+    }
+
+    @Test
+    void claimsThatArriveDuringAWriteShareTheNextOne() throws Exception {
+        List<Runnable> queued = new ArrayList<>();
+        AtomicInteger writes = new AtomicInteger();
+        store.follow(write -> {
+            writes.addAndGet(write ? 1 : 0);
+            return Fault.NONE;
+        });
+        ClaimLog log = new ClaimLog(store, "first", 1, KEEP, queued::add, wallMillis::get);
+        List<CompletableFuture<ClaimResult>> results = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            results.add(log.claim(ClaimLog.keyOf("account", "key" + i), REQUEST));
+        }
+        queued.forEach(Runnable::run);
+        for (CompletableFuture<ClaimResult> result : results) {
+            granted(result);
+        }
+        assertThat(writes).hasValue(1);
+    }
+
+    @Test
+    void aFullShardTakesNoClaimAndLosesNone() throws Exception {
+        ClaimLog log = new ClaimLog(store, "first", 1, KEEP, Runnable::run, wallMillis::get);
+        byte[] answer = new byte[100_000];
+        ClaimResult last = log.claim(ClaimLog.keyOf("account", "0"), REQUEST).get();
+        for (int i = 1; i < 20; i++) {
+            if (last instanceof ClaimResult.Granted held) {
+                log.finish(held.claim(), answer).get();
+            }
+            last = log.claim(ClaimLog.keyOf("account", Integer.toString(i)), REQUEST)
+                    .get();
+        }
+        assertThat(log.claim(ClaimLog.keyOf("account", "0"), REQUEST).get()).isInstanceOf(ClaimResult.Finished.class);
+    }
+}
--- /dev/null
+++ b/toucanlane-coordination/src/test/java/org/toucanlane/coordination/share/LedgerWorld.java
@@ -0,0 +1,211 @@
+package org.toucanlane.coordination.share;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Three hosts with real ledgers, a network whose messages wait until they are delivered or lost, and a clock that is
+ * moved by hand. Every step is one action, so that all orders can be tried. Not thread-safe.
+ */
+final class LedgerWorld {
+
+    static final ShareLimit LIMIT = new ShareLimit(20, 2);
+    static final long TICK = Duration.ofSeconds(1).toNanos();
+
+    private static final Duration VALIDITY = Duration.ofMillis(1500);
+    private static final int WARM_UP_TICKS = 6;
+    private static final Map<String, String> HOLDERS = new TreeMap<>(Map.of("x", "h1", "y", "h2"));
+    private static final List<String> HOSTS = List.of("h1", "h2", "h3");
+
+    private final Variant variant;
+    private final Map<String, ShareLedger> ledgers = new HashMap<>();
+    private final Map<String, Pending> pending = new TreeMap<>();
+    private final Map<String, AdmissionRecord> records = new HashMap<>();
+    private final List<Message> network = new ArrayList<>();
+    private final List<Admitted> admitted = new ArrayList<>();
+    private long now;
+    private int restarts;
+
+    LedgerWorld(Variant variant) {
+        this.variant = variant;
+        HOLDERS.keySet().forEach(account -> records.put(account, new AdmissionRecord()));
+        HOSTS.forEach(this::startLedger);
+        now = WARM_UP_TICKS * TICK;
+    }
+
+    /** How careful the ledgers are; all but the first are controls. */
+    enum Variant {
+        GUARDED,
+        LOANS_OUTLIVE_THE_LENDERS_MEMORY,
+        RESTART_ACCRUES_AT_ONCE
+    }
+
+    private void startLedger(String host) {
+        boolean hasty = variant == Variant.RESTART_ACCRUES_AT_ONCE && restarts > 0;
+        LoanTerms terms = new LoanTerms(hasty ? Duration.ofNanos(1) : VALIDITY, Duration.ZERO, Duration.ZERO, 1);
+        ShareLedger ledger = ShareLedger.builder()
+                .self(host, "d", ++restarts)
+                .clock(() -> now)
+                .transport(new Outbox(host))
+                .terms(terms)
+                .build();
+        Map<String, List<HostShare>> shares = new HashMap<>();
+        HOLDERS.forEach((account, holder) -> shares.put(account, List.of(new HostShare(holder, "d", LIMIT))));
+        ledger.apply(ShareTable.of(1, shares, Map.of(), Set.copyOf(HOSTS)), Map.of());
+        ledgers.put(host, ledger);
+    }
+
+    /** Returns everything that may happen next. */
+    List<Action> actions() {
+        List<Action> actions = new ArrayList<>();
+        start(actions, "h1", "x");
+        start(actions, "h3", "x");
+        start(actions, "h1", "y");
+        for (int i = 0; i < network.size(); i++) {
+            int index = i;
+            actions.add(new Action("deliver " + network.get(i), () -> deliver(network.remove(index))));
+            actions.add(new Action("lose " + network.get(i), () -> network.remove(index)));
+        }
+        actions.add(new Action("tick", () -> now += TICK));
+        actions.add(new Action("restart h1", () -> restart("h1")));
+        pending.keySet().forEach(key -> actions.add(new Action("give up " + key, () -> giveUp(key))));
+        if (!admitted.isEmpty()) {
+            actions.add(new Action("give back", this::giveBack));
+        }
+        return actions;
+    }
+
+    private void start(List<Action> actions, String host, String account) {
+        String key = host + account;
+        if (!pending.containsKey(key)) {
+            actions.add(new Action("start " + key, () -> begin(host, account)));
+        }
+    }
+
+    private void begin(String host, String account) {
+        Admission admission = ledgers.get(host).begin(account, LIMIT.burstTokens());
+        goOn(host, account, admission);
+    }
+
+    private void goOn(String host, String account, Admission admission) {
+        Optional<Admission.Ask> ask = admission.nextAsk(now);
+        if (ask.isPresent()) {
+            pending.put(host + account, new Pending(admission, ask.get()));
+            network.add(new Request(host, ask.get()));
+            return;
+        }
+        try {
+            Charge charge = admission.finish();
+            int index = records.get(account).admitted(now, charge.tokens());
+            admitted.add(new Admitted(account, index, charge));
+        } catch (ShortOfTokensException e) {
+            // A refusal admits nothing.
+        }
+    }
+
+    private void deliver(Message message) {
+        if (message instanceof Request request) {
+            String lender = request.ask.lender().host();
+            LoanGrant grant = ledgers.get(lender).lend(request.ask.id(), request.ask.account(), request.ask.tokens());
+            boolean longer = variant == Variant.LOANS_OUTLIVE_THE_LENDERS_MEMORY;
+            LoanGrant told = longer ? new LoanGrant(grant.tokens(), VALIDITY.multipliedBy(10)) : grant;
+            network.add(new Reply(request.borrower, request.ask, told));
+        } else if (message instanceof Reply reply) {
+            answer(reply.borrower + reply.ask.account(), reply.ask, Optional.of(reply.grant));
+        } else if (message instanceof Return back) {
+            ledgers.get(back.lender).takeBack(back.id, back.account, back.tokens);
+        }
+    }
+
+    private void answer(String key, Admission.Ask ask, Optional<LoanGrant> grant) {
+        Pending waiting = pending.get(key);
+        if (waiting == null || waiting.ask != ask) {
+            return;
+        }
+        pending.remove(key);
+        waiting.admission.answered(ask, grant, now);
+        goOn(key.substring(0, 2), ask.account(), waiting.admission);
+    }
+
+    private void giveUp(String key) {
+        answer(key, pending.get(key).ask, Optional.empty());
+    }
+
+    private void restart(String host) {
+        pending.keySet().removeIf(key -> key.startsWith(host));
+        admitted.clear();
+        startLedger(host);
+    }
+
+    private void giveBack() {
+        Admitted last = admitted.remove(admitted.size() - 1);
+        last.charge.settle(0);
+        records.get(last.account).givenBack(last.index, last.charge.tokens());
+    }
+
+    /** Returns whether some window of some account holds more than its limit allows. */
+    boolean isOverspent() {
+        return records.values().stream().anyMatch(record -> record.worstExcess(LIMIT) > 0);
+    }
+
+    /** One thing that may happen. */
+    record Action(String name, Runnable effect) {}
+
+    private record Pending(Admission admission, Admission.Ask ask) {}
+
+    private record Admitted(String account, int index, Charge charge) {}
+
+    private sealed interface Message {}
+
+    private record Request(String borrower, Admission.Ask ask) implements Message {
+        @Override
+        public String toString() {
+            return "request " + ask.id();
+        }
+    }
+
+    private record Reply(String borrower, Admission.Ask ask, LoanGrant grant) implements Message {
+        @Override
+        public String toString() {
+            return "reply " + ask.id() + " of " + grant.tokens();
+        }
+    }
+
+    private record Return(String lender, String id, String account, long tokens) implements Message {
+        @Override
+        public String toString() {
+            return "return " + id;
+        }
+    }
+
+    /** What a host sends on its own account. */
+    private final class Outbox implements LoanTransport {
+
+        private final String host;
+
+        Outbox(String host) {
+            this.host = host;
+        }
+
+        @Override
+        public Optional<LoanGrant> borrow(String lender, String loanId, String account, long tokens, Duration wait) {
+            throw new UnsupportedOperationException("the world moves messages itself");
+        }
+
+        @Override
+        public void giveBack(String lender, String loanId, String account, long unusedTokens) {
+            network.add(new Return(lender, loanId, account, unusedTokens));
+        }
+
+        @Override
+        public boolean isReachable(String other) {
+            return !other.equals(host);
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-coordination/src/test/java/org/toucanlane/coordination/share/ShareMovePropertyTest.java
@@ -0,0 +1,95 @@
+package org.toucanlane.coordination.share;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+/** Divisions of a limit, and what hosts use of it while it moves from one division to another. */
+class ShareMovePropertyTest {
+
+    private static final String ACCOUNT = "account";
+    private static final ShareLimit WHOLE = new ShareLimit(1001, 5003);
+    private static final int HOSTS = 6;
+
+    @Property(tries = 500, seed = "20261204")
+    void partsNeverExceedTheWholeWhoeverHasHeardOfTheMove(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+        Random random = new Random(seed);
+        assertIsWithinWhole(sumInUse(random, true));
+    }
+
+    /** The control: hosts that take up a share without waiting for its earlier holder exceed the whole. */
+    @Test
+    void hostsThatDoNotWaitAreFoundOut() {
+        boolean found = IntStream.range(0, 500)
+                .mapToObj(seed -> sumInUse(new Random(seed), false))
+                .anyMatch(sum -> !sum.isWithin(WHOLE));
+        assertThat(found).isTrue();
+    }
+
+    @Test
+    void partsOfADivisionSumToTheWhole() {
+        List<HostShare> shares = ShareSplit.of(
+                ACCOUNT,
+                WHOLE,
+                Map.of("a", 3, "b", 2, "c", 2, "empty", 5, "none", 0),
+                Map.of("a", List.of("a1", "a2"), "b", List.of("b1"), "c", List.of("c1"), "none", List.of("n1")));
+        assertThat(shares).extracting(HostShare::dataCentre).containsExactlyInAnyOrder("a", "b", "c");
+        ShareLimit sum = shares.stream().map(HostShare::limit).reduce(ShareLimit.NONE, ShareMovePropertyTest::plus);
+        assertThat(sum).isEqualTo(WHOLE);
+    }
+
+    private static void assertIsWithinWhole(ShareLimit sum) {
+        assertThat(sum.isWithin(WHOLE)).as("in use: %s", sum).isTrue();
+    }
+
+    private static ShareLimit sumInUse(Random random, boolean waits) {
+        List<HostShare> before = division(random);
+        List<HostShare> after = division(random);
+        Set<String> members =
+                Set.copyOf(IntStream.range(0, HOSTS).mapToObj(i -> "h" + i).toList());
+        ShareTable old = ShareTable.of(1, Map.of(ACCOUNT, before), Map.of(), members);
+        ShareTable next = ShareTable.of(2, Map.of(ACCOUNT, after), Map.of(ACCOUNT, before), members);
+        Map<String, Long> truth = new HashMap<>();
+        members.forEach(host -> truth.put(host, 1L + random.nextInt(2)));
+        ShareLimit sum = ShareLimit.NONE;
+        for (String host : members) {
+            Map<String, Long> heard = new HashMap<>();
+            truth.forEach((other, version) -> {
+                if (random.nextBoolean()) {
+                    heard.put(other, version);
+                }
+            });
+            if (!waits) {
+                members.forEach(other -> heard.put(other, 2L));
+            }
+            ShareTable inForce = truth.get(host) == 2 ? next : old;
+            sum = plus(sum, inForce.limitOf(ACCOUNT, host, heard));
+        }
+        return sum;
+    }
+
+    private static List<HostShare> division(Random random) {
+        Map<String, List<String>> hosts = new HashMap<>();
+        IntStream.range(0, HOSTS)
+                .forEach(i -> hosts.computeIfAbsent("d" + i % 3, key -> new ArrayList<>())
+                        .add("h" + i));
+        hosts.values().forEach(list -> list.removeIf(host -> list.size() > 1 && random.nextBoolean()));
+        Map<String, Integer> weights = new HashMap<>();
+        hosts.keySet().forEach(dataCentre -> weights.put(dataCentre, random.nextInt(4)));
+        return ShareSplit.of(ACCOUNT, WHOLE, weights, hosts);
+    }
+
+    private static ShareLimit plus(ShareLimit a, ShareLimit b) {
+        return new ShareLimit(a.tokensPerSecond() + b.tokensPerSecond(), a.burstTokens() + b.burstTokens());
+    }
+}
