Hurt real processes and mend what broke

Cause: the promises had no test with real processes.

Failing first, three faults: (1) an answer that broke off mid-way was ended as whole, because the server closes the chunked body properly when the writer throws; the connection is now broken at its end point. (2) A request bound to an unreachable region was told that its account is over its rate, since all holders of its limit are there; reachability is now checked before charging, and a refusal for want of unreachable holders has a kind of its own, limit_unreachable. (3) A host that started while the platform was down knew no peers; settings now name seeds.

Ruled out: (1) the error event alone: a whole, non-streamed answer has none.

Not covered yet: one-way loss, two faults at once, the claim's wait against a slow store.

--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/Admission.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/Admission.java
@@ -20,6 +20,7 @@
     private final List<Charge.Part> parts = new ArrayList<>();
     private long missing;
     private int asked;
+    private boolean unanswered;
 
     Admission(ShareLedger ledger, String account, String id, long tokens) {
         this.ledger = ledger;
@@ -47,6 +48,7 @@
     /** Takes in the answer to {@code ask}; empty if none came in time. */
     void answered(Ask ask, Optional<LoanGrant> grant, long nowNanos) {
         if (grant.isEmpty()) {
+            unanswered = true;
             ledger.giveBackLoan(ask, ask.tokens());
             return;
         }
@@ -77,7 +79,9 @@
         charge.settle(0);
         Duration retryAfter = ledger.accrualTime(account, missing);
         throw new ShortOfTokensException(
-                "account " + account + " is short of " + missing + " of " + tokens + " tokens", retryAfter);
+                "account " + account + " is short of " + missing + " of " + tokens + " tokens",
+                retryAfter,
+                unanswered || ledger.hasUnreachableHolder(account));
     }
 
     /**
--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareLedger.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareLedger.java
@@ -152,6 +152,13 @@
                 .toList();
     }
 
+    /** Returns whether a holder of a part of the limit can't be asked now. */
+    boolean hasUnreachableHolder(String account) {
+        return table.holders(account).stream()
+                .map(HostShare::host)
+                .anyMatch(holder -> !holder.equals(host) && !transport.isReachable(holder));
+    }
+
     /** Notes that a lender had fewer tokens than asked for, so that it is left alone until more have accrued. */
     void lenderWasShort(String account, Admission.Ask ask, long missing) {
         long pause = pauseAfterShort(ask.lender(), missing);
--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShortOfTokensException.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShortOfTokensException.java
@@ -8,15 +8,27 @@
     private static final long serialVersionUID = 1L;
 
     private final transient Duration retryAfter;
+    private final boolean holderUnreachable;
 
-    /** Creates an exception that says when enough tokens will have accrued. */
-    public ShortOfTokensException(String message, Duration retryAfter) {
+    /**
+     * Creates an exception.
+     *
+     * @param retryAfter when enough tokens will have accrued
+     * @param holderUnreachable whether a host that holds a part of the limit could not be asked
+     */
+    public ShortOfTokensException(String message, Duration retryAfter, boolean holderUnreachable) {
         super(message);
         this.retryAfter = retryAfter;
+        this.holderUnreachable = holderUnreachable;
     }
 
     /** Returns after what time the missing tokens have accrued, if nobody else takes them. */
     public Duration retryAfter() {
         return retryAfter;
     }
+
+    /** Returns whether a host that holds a part of the limit could not be asked, so that the account may have more. */
+    public boolean isHolderUnreachable() {
+        return holderUnreachable;
+    }
 }
--- a/toucanlane-domain/src/main/java/org/toucanlane/domain/outcome/ErrorKind.java
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/outcome/ErrorKind.java
@@ -25,6 +25,8 @@
     REQUEST_TOO_LARGE(413, Ran.NOT_RUN, Retry.NEVER),
     /** The account has used up its rate and burst. */
     RATE_LIMITED(429, Ran.NOT_RUN, Retry.LATER),
+    /** The account's tokens here are used up, and hosts that hold the rest can't be reached. */
+    LIMIT_UNREACHABLE(503, Ran.NOT_RUN, Retry.LATER),
     /** Too much is waiting already. */
     OVERLOADED(503, Ran.NOT_RUN, Retry.LATER),
     /** The request cannot start before its deadline. */
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/GatewaySettings.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/GatewaySettings.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -53,6 +54,11 @@
     @NotNull
     private Path keyHashSecretFile;
 
+    /** Peers to start with while the list of hosts can't be read: {@code address:port} by name of the host. */
+    @JsonProperty
+    @NotNull
+    private Map<String, String> seeds = Map.of();
+
     @JsonProperty
     @NotNull
     private Duration storeTimeout = Duration.seconds(2);
@@ -133,6 +139,11 @@
         return keyHashSecretFile;
     }
 
+    /** Returns the peers to start with, addresses by name of the host. */
+    public Map<String, String> seeds() {
+        return seeds;
+    }
+
     /** Returns the longest wait for the key-value service. */
     public java.time.Duration storeTimeout() {
         return storeTimeout.toJavaDuration();
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/AnswerWriter.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/AnswerWriter.java
@@ -23,11 +23,13 @@
     private final RunningRequest request;
     private final Answer answer;
     private final boolean streamed;
+    private final CallerConnection connection;
 
-    AnswerWriter(RunningRequest request, Answer answer, boolean streamed) {
+    AnswerWriter(RunningRequest request, Answer answer, boolean streamed, CallerConnection connection) {
         this.request = request;
         this.answer = answer;
         this.streamed = streamed;
+        this.connection = connection;
     }
 
     @Override
@@ -66,6 +68,7 @@
             out.write(event.getBytes(StandardCharsets.UTF_8));
             out.flush();
         }
+        connection.breakOff();
         throw new IOException("the answer broke off: " + failure.getMessage());
     }
 
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/CallerService.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/CallerService.java
@@ -73,8 +73,8 @@
     }
 
     /** Serves a request to a model. */
-    Response model(String path, HttpHeaders headers, InputStream body) {
-        return serve(headers, context -> {
+    Response model(String path, HttpHeaders headers, CallerConnection connection, InputStream body) {
+        return serve(headers, connection, context -> {
             byte[] bytes = readBody(body);
             Caller caller = identify(context);
             ModelRequest parsed = ModelRequest.parse(bytes);
@@ -90,23 +90,25 @@
     }
 
     /** Serves a request to a plain service. */
-    Response plain(String service, String method, String path, String query, HttpHeaders headers, InputStream body) {
-        return serve(headers, context -> {
+    Response plain(Target target, HttpHeaders headers, CallerConnection connection, InputStream body) {
+        return serve(headers, connection, context -> {
             byte[] bytes = readBody(body);
             Caller caller = identify(context);
             Route route = configuration
                     .current()
                     .configuration()
-                    .routeForPath(service, path)
+                    .routeForPath(target.service(), target.path())
                     .orElseThrow(() -> new RequestFailedException(
-                            ErrorKind.UNKNOWN_ROUTE, "no route serves " + path + " of \"" + service + '"'));
-            String target = query == null || query.isEmpty() ? path : path + '?' + query;
+                            ErrorKind.UNKNOWN_ROUTE,
+                            "no route serves " + target.path() + " of \"" + target.service() + '"'));
             ModelRequest plain = new ModelRequest("", false, PLAIN_CALL_TOKENS, 0, "");
-            return new Prepared(build(context, caller, route, method, target, bytes, plain), PLAIN_CALL_TOKENS);
+            return new Prepared(
+                    build(context, caller, route, target.method(), target.withQuery(), bytes, plain),
+                    PLAIN_CALL_TOKENS);
         });
     }
 
-    private Response serve(HttpHeaders headers, Preparation preparation) {
+    private Response serve(HttpHeaders headers, CallerConnection connection, Preparation preparation) {
         RequestRecord log = metrics.begin(CallerContext.newRequestId());
         RunningRequest request = null;
         try {
@@ -120,7 +122,10 @@
             Answer answer = pipeline.run(prepared.request(), prepared.promptTokens());
             request.onWithdrawal(answer::close);
             log.headCame(answer.dataCentre());
-            return toResponse(request, answer, prepared.request().streamed());
+            return toResponse(
+                    request,
+                    answer,
+                    new AnswerWriter(request, answer, prepared.request().streamed(), connection));
         } catch (RequestFailedException e) {
             return refuse(log, request, e);
         } catch (RuntimeException e) {
@@ -139,12 +144,12 @@
         return Refusals.toResponse(log.requestId(), e);
     }
 
-    private static Response toResponse(RunningRequest request, Answer answer, boolean streamed) {
+    private static Response toResponse(RunningRequest request, Answer answer, AnswerWriter body) {
         return Response.status(answer.status())
                 .header(HttpHeaders.CONTENT_TYPE, answer.contentType())
                 .header(CallerContext.REQUEST_ID_HEADER, request.log().requestId())
                 .header(DATA_CENTRE_HEADER, answer.dataCentre())
-                .entity(new AnswerWriter(request, answer, streamed))
+                .entity(body)
                 .build();
     }
 
@@ -219,6 +224,21 @@
         return OpenAccount.of(route);
     }
 
+    /**
+     * Where a request to a plain service goes.
+     *
+     * @param service name of the service
+     * @param method HTTP method
+     * @param path path below the service
+     * @param query the query as it came; may be null
+     */
+    record Target(String service, String method, String path, String query) {
+
+        private String withQuery() {
+            return query == null || query.isEmpty() ? path : path + '?' + query;
+        }
+    }
+
     /** Turns headers and body into a request. */
     @FunctionalInterface
     private interface Preparation {
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/ModelResource.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/ModelResource.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import jakarta.inject.Inject;
+import jakarta.servlet.http.HttpServletRequest;
 import jakarta.ws.rs.GET;
 import jakarta.ws.rs.HeaderParam;
 import jakarta.ws.rs.POST;
@@ -38,15 +39,15 @@
     /** Completes a chat. */
     @POST
     @Path("/chat/completions")
-    public Response chat(@Context HttpHeaders headers, InputStream body) {
-        return service.model("/v1/chat/completions", headers, body);
+    public Response chat(@Context HttpHeaders headers, @Context HttpServletRequest request, InputStream body) {
+        return service.model("/v1/chat/completions", headers, new CallerConnection(request), body);
     }
 
     /** Completes a text. */
     @POST
     @Path("/completions")
-    public Response complete(@Context HttpHeaders headers, InputStream body) {
-        return service.model("/v1/completions", headers, body);
+    public Response complete(@Context HttpHeaders headers, @Context HttpServletRequest request, InputStream body) {
+        return service.model("/v1/completions", headers, new CallerConnection(request), body);
     }
 
     /** Lists the models that the key's account may use. */
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/PlainResource.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/PlainResource.java
@@ -1,6 +1,7 @@
 package org.toucanlane.gateway.caller;
 
 import jakarta.inject.Inject;
+import jakarta.servlet.http.HttpServletRequest;
 import jakarta.ws.rs.DELETE;
 import jakarta.ws.rs.GET;
 import jakarta.ws.rs.PATCH;
@@ -28,40 +29,68 @@
 
     /** Passes a GET on. */
     @GET
-    public Response get(@PathParam("service") String name, @Context UriInfo uri, @Context HttpHeaders headers) {
-        return pass("GET", name, uri, headers, InputStream.nullInputStream());
+    public Response get(
+            @PathParam("service") String name,
+            @Context UriInfo uri,
+            @Context HttpHeaders headers,
+            @Context HttpServletRequest request) {
+        return pass("GET", name, uri, headers, request, InputStream.nullInputStream());
     }
 
     /** Passes a POST on. */
     @POST
     public Response post(
-            @PathParam("service") String name, @Context UriInfo uri, @Context HttpHeaders headers, InputStream body) {
-        return pass("POST", name, uri, headers, body);
+            @PathParam("service") String name,
+            @Context UriInfo uri,
+            @Context HttpHeaders headers,
+            @Context HttpServletRequest request,
+            InputStream body) {
+        return pass("POST", name, uri, headers, request, body);
     }
 
     /** Passes a PUT on. */
     @PUT
     public Response put(
-            @PathParam("service") String name, @Context UriInfo uri, @Context HttpHeaders headers, InputStream body) {
-        return pass("PUT", name, uri, headers, body);
+            @PathParam("service") String name,
+            @Context UriInfo uri,
+            @Context HttpHeaders headers,
+            @Context HttpServletRequest request,
+            InputStream body) {
+        return pass("PUT", name, uri, headers, request, body);
     }
 
     /** Passes a PATCH on. */
     @PATCH
     public Response patch(
-            @PathParam("service") String name, @Context UriInfo uri, @Context HttpHeaders headers, InputStream body) {
-        return pass("PATCH", name, uri, headers, body);
+            @PathParam("service") String name,
+            @Context UriInfo uri,
+            @Context HttpHeaders headers,
+            @Context HttpServletRequest request,
+            InputStream body) {
+        return pass("PATCH", name, uri, headers, request, body);
     }
 
     /** Passes a DELETE on. */
     @DELETE
-    public Response delete(@PathParam("service") String name, @Context UriInfo uri, @Context HttpHeaders headers) {
-        return pass("DELETE", name, uri, headers, InputStream.nullInputStream());
+    public Response delete(
+            @PathParam("service") String name,
+            @Context UriInfo uri,
+            @Context HttpHeaders headers,
+            @Context HttpServletRequest request) {
+        return pass("DELETE", name, uri, headers, request, InputStream.nullInputStream());
     }
 
-    private Response pass(String method, String name, UriInfo uri, HttpHeaders headers, InputStream body) {
+    private Response pass(
+            String method,
+            String name,
+            UriInfo uri,
+            HttpHeaders headers,
+            HttpServletRequest request,
+            InputStream body) {
         String whole = uri.getRequestUri().getRawPath();
         String path = whole.substring("/services/".length() + name.length());
-        return service.plain(name, method, path, uri.getRequestUri().getRawQuery(), headers, body);
+        CallerService.Target target =
+                new CallerService.Target(name, method, path, uri.getRequestUri().getRawQuery());
+        return service.plain(target, headers, new CallerConnection(request), body);
     }
 }
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/Dispatcher.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/Dispatcher.java
@@ -72,11 +72,24 @@
                 metrics.retried(request.route().service());
             }
         }
-        throw last != null
-                ? last
-                : new RequestFailedException(
-                        ErrorKind.RESIDENCY_UNREACHABLE,
-                        "no data centre in which the request may run has an endpoint that can be reached");
+        throw last != null ? last : unreachable();
+    }
+
+    /**
+     * Checks that some data centre can run the request now, so that one that can't is refused before it is charged.
+     *
+     * @throws RequestFailedException if none can
+     */
+    public void checkReachable(GatewayRequest request) throws RequestFailedException {
+        if (dataCentres.rank(request, Set.of()).isEmpty()) {
+            throw unreachable();
+        }
+    }
+
+    private static RequestFailedException unreachable() {
+        return new RequestFailedException(
+                ErrorKind.RESIDENCY_UNREACHABLE,
+                "no data centre in which the request may run has an endpoint that can be reached");
     }
 
     /** Keeps the failure that says the most may have happened, so that "not run" is true of all attempts. */
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/RequestPipeline.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/RequestPipeline.java
@@ -10,7 +10,7 @@
 import org.toucanlane.gateway.once.OnceGuard;
 
 /**
- * The path of a request: admit, claim if it is a one-time action, dispatch, count.
+ * The path of a request: see that it can run anywhere, admit, claim if it is a one-time action, dispatch, count.
  *
  * <p>Invariant: whatever was charged is settled exactly once, also when the request fails. Thread-safe.
  */
@@ -36,6 +36,7 @@
      * @throws RequestFailedException if it is refused or failed
      */
     public Answer run(GatewayRequest request, long promptTokens) throws RequestFailedException {
+        dispatcher.checkReachable(request);
         Charge charge = admit(request);
         boolean answered = false;
         try {
@@ -62,7 +63,8 @@
         try {
             return ledger.admit(request.account().name(), request.tokens());
         } catch (ShortOfTokensException e) {
-            throw new RequestFailedException(ErrorKind.RATE_LIMITED, e.getMessage(), e.retryAfter(), e);
+            ErrorKind kind = e.isHolderUnreachable() ? ErrorKind.LIMIT_UNREACHABLE : ErrorKind.RATE_LIMITED;
+            throw new RequestFailedException(kind, e.getMessage(), e.retryAfter(), e);
         }
     }
 }
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/PeerHub.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/PeerHub.java
@@ -34,6 +34,7 @@
     private static final double DEFAULT_ROUND_TRIP_MILLIS = 110;
 
     private final PeerIdentity self;
+    private final Map<String, String> seeds;
     private final MembershipView membership;
     private final Map<String, Heartbeat> heartbeats = new ConcurrentHashMap<>();
     private volatile Map<String, ListedHost> listed = Map.of();
@@ -43,12 +44,18 @@
     @Inject
     public PeerHub(PeerIdentity self, GatewaySettings settings) {
         this.self = self;
+        this.seeds = Map.copyOf(settings.seeds());
         this.membership = new MembershipView(MonotonicClock.system(), settings.silentAfter());
     }
 
-    /** Starts to use {@code started} for links. */
+    /** Starts to use {@code started} for links, first to the seeds. */
     public void start(PeerNode started) {
         node = started;
+        seeds.forEach((host, address) -> {
+            if (!host.equals(self.host())) {
+                started.connect(host, toAddress(address));
+            }
+        });
     }
 
     /** Takes in the platform's list: links to new hosts, no more links to hosts that have gone from it and are silent. */
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/engine/EngineServer.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/engine/EngineServer.java
@@ -46,6 +46,7 @@
     private final Map<String, Boolean> prefixes;
     private final LaggingLoad load;
     private volatile boolean leaving;
+    private volatile long generationsToBreak = System.nanoTime();
 
     private EngineServer(int port, EngineOptions options) throws IOException {
         this.options = options;
@@ -72,6 +73,36 @@
         return server.port();
     }
 
+    /** Breaks off every answer that is under way. */
+    public void breakAll() {
+        generationsToBreak = System.nanoTime();
+    }
+
+    /** Says in load reports that the engine is leaving, or that it is back. */
+    public void leave(boolean isLeaving) {
+        leaving = isLeaving;
+    }
+
+    /** Returns how many requests came to be worked on. */
+    public long started() {
+        return started.get();
+    }
+
+    /** Returns how many callers went away before their answer ended. */
+    public long cancelled() {
+        return cancelled.get();
+    }
+
+    /** Returns how many requests carried a header that a key could be in. */
+    public long keysSeen() {
+        return keysSeen.get();
+    }
+
+    /** Returns how many prompts began like one that was remembered. */
+    public long cacheHits() {
+        return cacheHits.get();
+    }
+
     private void handle(HttpExchange exchange) throws IOException, InterruptedException {
         boolean carriesKey = exchange.getRequestHeaders().keySet().stream()
                 .anyMatch(name -> KEY_HEADERS.contains(name.toLowerCase(Locale.ROOT)));
@@ -84,10 +115,6 @@
             case "/load" ->
                 SmallServer.json(exchange, 200, load.report(!leaving).toString());
             case "/stats" -> SmallServer.json(exchange, 200, stats());
-            case "/leave" -> {
-                leaving = true;
-                SmallServer.json(exchange, 200, "{}");
-            }
             default -> SmallServer.answer(exchange, 404, "text/plain", new byte[0]);
         }
     }
@@ -119,6 +146,8 @@
                 generation.whole();
             }
             finished.incrementAndGet();
+        } catch (BrokenOffException e) {
+            throw e;
         } catch (IOException e) {
             cancelled.incrementAndGet();
             throw e;
@@ -146,6 +175,11 @@
         server.close();
     }
 
+    /** Thrown to break off an answer. */
+    private static final class BrokenOffException extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
     /** A prompt and what the cache knows it by. */
     private record Prompt(String text, int tokens, String start) {
 
@@ -170,6 +204,7 @@
         private final boolean chat;
         private final int tokens;
         private final String[] words;
+        private final long startedAt = System.nanoTime();
 
         Generation(HttpExchange exchange, JsonNode request, Prompt prompt, boolean chat) {
             this.exchange = exchange;
@@ -196,6 +231,9 @@
             for (int i = 0; i < tokens; i++) {
                 next += TimeUnit.MICROSECONDS.toNanos(stepMicros());
                 TimeUnit.NANOSECONDS.sleep(next - System.nanoTime());
+                if (generationsToBreak - startedAt > 0) {
+                    throw new BrokenOffException();
+                }
                 write(out, "data: " + chunk(word(i), i) + "\n\n");
             }
             write(out, "data: [DONE]\n\n");
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/Deployment.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/Deployment.java
@@ -133,6 +133,10 @@
         settings.put("hostList", "http://127.0.0.1:" + platformPort + "/for/" + host.name());
         settings.put("keyHashSecretFile", secretFile.toString());
         settings.put("announceLeaving", "2s");
+        ObjectNode seeds = settings.putObject("seeds");
+        hostsIn(host.dataCentre())
+                .forEach(peer ->
+                        seeds.put(peer.name(), "127.0.0.1:" + peer.ports().peer()));
         ObjectNode server = settings.putObject("server");
         server.put("maxThreads", 1024);
         server.put("shutdownGracePeriod", "2s");
@@ -213,7 +217,11 @@
         List<HostProcess> running =
                 hosts.values().stream().filter(HostProcess::isRunning).toList();
         for (HostProcess host : running) {
-            await("host " + host.name() + " to be ready, see " + host.log(), () -> seesPeers(host, running.size() - 1));
+            try {
+                await("host " + host.name() + " to be ready", () -> seesPeers(host, running.size() - 1));
+            } catch (IllegalStateException e) {
+                throw new IllegalStateException(e.getMessage() + "; its log ends with\n" + host.logTail(), e);
+            }
         }
     }
 
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/FreePorts.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/FreePorts.java
@@ -3,21 +3,37 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.util.HashSet;
-import java.util.Set;
 
-/** Finds ports of loopback that nobody listens on. Thread-safe. */
+/**
+ * Finds ports of loopback that nobody listens on, below the range from which the system takes the local ports of
+ * outgoing connections. Thread-safe.
+ */
 final class FreePorts {
 
-    private final Set<Integer> taken = new HashSet<>();
+    private static final int FIRST = 10_000;
+    private static final int COUNT = 20_000;
+
+    /** Keeps processes that look for ports at the same time apart. */
+    private static final int STRIDE = 523;
+
+    private int next = (int) (ProcessHandle.current().pid() * STRIDE % COUNT);
 
     synchronized int next() throws IOException {
-        while (true) {
-            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                if (taken.add(socket.getLocalPort())) {
-                    return socket.getLocalPort();
-                }
+        for (int tries = 0; tries < COUNT; tries++) {
+            int port = FIRST + next;
+            next = (next + 1) % COUNT;
+            if (isFree(port)) {
+                return port;
             }
         }
+        throw new IOException("no free port");
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
     }
 }
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/HostProcess.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/HostProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.URI;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,6 +14,7 @@
 public final class HostProcess implements AutoCloseable {
 
     private static final long STOP_SECONDS = 60;
+    private static final int TAIL_LINES = 20;
 
     private final String name;
     private final String dataCentre;
@@ -75,9 +77,14 @@
         return process.pid();
     }
 
-    /** Returns the file that the process logs to. */
-    public Path log() {
-        return log;
+    /** Returns the last lines that the process logged. */
+    public String logTail() {
+        try {
+            List<String> lines = Files.readAllLines(log);
+            return String.join("\n", lines.subList(Math.max(0, lines.size() - TAIL_LINES), lines.size()));
+        } catch (IOException e) {
+            return "(no log: " + e.getMessage() + ')';
+        }
     }
 
     /** Returns whether the process runs. */
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/proxy/Pipe.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/proxy/Pipe.java
@@ -76,11 +76,19 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         ended = true;
+        if (!target.isActive()) {
+            drop();
+        }
         if (!link.isCut(forward)) {
             closeTarget(context);
         }
     }
 
+    private void drop() {
+        held.forEach(ByteBuf::release);
+        held.clear();
+    }
+
     private void closeTarget(ChannelHandlerContext context) {
         context.executor()
                 .schedule(
--- /dev/null
+++ b/toucanlane-standins/src/test/java/org/toucanlane/standins/fleet/PartitionTest.java
@@ -0,0 +1,169 @@
+package org.toucanlane.standins.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Real processes cut off from each other and from the platform. */
+class PartitionTest {
+
+    private static final int ONE_REQUEST_TOKENS = 100;
+
+    @TempDir
+    private static Path work;
+
+    private static SmallFleet fleet;
+
+    @BeforeAll
+    static void start() throws IOException, InterruptedException {
+        fleet = SmallFleet.start(work);
+    }
+
+    @AfterAll
+    static void stop() {
+        fleet.close();
+    }
+
+    private static boolean serves(HostProcess host, String key) {
+        try {
+            return fleet.chat(host, key, 1).statusCode() == 200;
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** Until the cut is noticed a request may also be told that the holders of its limit do not answer: not run too. */
+    private static boolean refusedAs(String type, HostProcess host) {
+        try {
+            HttpResponse<String> answer = fleet.chat(host, fleet.southernKey(), 1);
+            assertThat(answer.statusCode()).isNotEqualTo(200);
+            assertThat(SmallFleet.error(answer).path("ran").asText()).isEqualTo("not_run");
+            return SmallFleet.error(answer).path("type").asText().equals(type);
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private static void cut(boolean cut) {
+        fleet.deployment().proxy().cut(SmallFleet.NORTH, SmallFleet.SOUTH, cut);
+    }
+
+    @Test
+    void anIsolatedDataCentreServesItsOwnAndSaysNotRunForTheRest() throws IOException, InterruptedException {
+        HostProcess north = fleet.host("n1");
+        assertThat(fleet.chat(north, fleet.southernKey(), 1).statusCode()).isEqualTo(200);
+        cut(true);
+        try {
+            Deployment.await("the cut to be noticed", () -> refusedAs("residency_unreachable", north));
+            HttpResponse<String> bound = fleet.chat(north, fleet.southernKey(), 1);
+            assertThat(SmallFleet.error(bound).path("ran").asText()).isEqualTo("not_run");
+            assertThat(bound.headers().firstValue("Retry-After")).isPresent();
+            assertThat(serves(north, fleet.bigKey())).isTrue();
+            assertThat(serves(fleet.host("s1"), fleet.southernKey())).isTrue();
+        } finally {
+            cut(false);
+        }
+        Deployment.await("the cut to heal", () -> serves(north, fleet.southernKey()));
+    }
+
+    @Test
+    void bothSidesOfAPartitionTogetherKeepToTheLimit() throws Exception {
+        cut(true);
+        try {
+            Deployment.await("the cut to be noticed", () -> !serves(fleet.host("n1"), fleet.southernKey()));
+            assertWithinLimit(5);
+        } finally {
+            cut(false);
+        }
+        Deployment.await("the cut to heal", () -> serves(fleet.host("n1"), fleet.southernKey()));
+    }
+
+    @Test
+    void aRestartedHolderInventsNoTokens() throws Exception {
+        HostProcess host = fleet.host("s2");
+        host.kill();
+        host.start();
+        Deployment.await("the host to be back", () -> serves(host, fleet.bigKey()));
+        fleet.deployment().awaitReady();
+        assertWithinLimit(5);
+    }
+
+    /** Floods one account at all hosts and checks what was admitted against its rate and burst. */
+    private static void assertWithinLimit(int seconds) throws Exception {
+        long admitted = 0;
+        ExecutorService callers = Executors.newCachedThreadPool();
+        long started = System.nanoTime();
+        try {
+            List<Callable<Long>> floods = fleet.deployment().hosts().values().stream()
+                    .<Callable<Long>>map(host -> () -> flood(host, started + seconds * 1_000_000_000L))
+                    .toList();
+            for (Future<Long> flood : callers.invokeAll(floods)) {
+                admitted += flood.get();
+            }
+        } finally {
+            callers.shutdownNow();
+        }
+        double elapsed = (System.nanoTime() - started) / 1e9;
+        assertThat(admitted).as("admitted tokens in %s s", elapsed).isLessThanOrEqualTo((long) (200 * elapsed + 1000));
+        assertThat(admitted).as("something was admitted").isPositive();
+    }
+
+    private static long flood(HostProcess host, long until) throws IOException, InterruptedException {
+        long admitted = 0;
+        while (System.nanoTime() < until) {
+            HttpResponse<String> answer = fleet.chat(host, fleet.limitedKey(), ONE_REQUEST_TOKENS);
+            if (answer.statusCode() == 200) {
+                admitted += ONE_REQUEST_TOKENS;
+            } else {
+                assertThat(SmallFleet.error(answer).path("type").asText()).isIn("rate_limited", "limit_unreachable");
+                assertThat(SmallFleet.error(answer).path("ran").asText()).isEqualTo("not_run");
+            }
+        }
+        return admitted;
+    }
+
+    @Test
+    void withoutTheStoreRequestsGoOnAndOneTimeActionsAreNotSent() throws Exception {
+        fleet.platformFaults("{\"down\":true}");
+        try {
+            assertThat(serves(fleet.host("n1"), fleet.bigKey())).isTrue();
+            HttpResponse<String> action = fleet.action(
+                    fleet.host("n1"), "during-outage", UUID.randomUUID().toString());
+            assertThat(SmallFleet.error(action).path("type").asText()).isEqualTo("claim_unavailable");
+            assertThat(fleet.runs("during-outage")).isZero();
+            HostProcess restarted = fleet.host("n2");
+            restarted.kill();
+            restarted.start();
+            Deployment.await("a host to take the configuration from a peer", () -> {
+                try {
+                    return fleet.deployment()
+                                    .get(restarted.caller().resolve("/health/ready"))
+                                    .statusCode()
+                            == 200;
+                } catch (IOException e) {
+                    return false;
+                }
+            });
+        } finally {
+            fleet.platformFaults("{\"down\":false}");
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-standins/src/test/java/org/toucanlane/standins/fleet/SmallFleet.java
@@ -0,0 +1,134 @@
+package org.toucanlane.standins.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.UUID;
+import org.toucanlane.standins.engine.EngineOptions;
+import org.toucanlane.standins.plain.PlainServer;
+
+/** Four hosts in two data centres, ready to be hurt. Not thread-safe. */
+final class SmallFleet implements AutoCloseable {
+
+    static final String NORTH = "north-a";
+    static final String SOUTH = "south-a";
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final List<String> JAVA_OPTIONS =
+            List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss512k");
+
+    private final Deployment deployment;
+    private final CallerClient client = new CallerClient();
+    private final String bigKey;
+    private final String limitedKey;
+    private final String southernKey;
+
+    private SmallFleet(Deployment deployment) throws IOException, InterruptedException {
+        this.deployment = deployment;
+        deployment.startHosts();
+        this.bigKey = deployment.issueKey("big");
+        this.limitedKey = deployment.issueKey("limited");
+        this.southernKey = deployment.issueKey("southern");
+        Deployment.CommandResult published =
+                deployment.command("publish", deployment.folders().root().toString());
+        if (published.exitCode() != 0) {
+            throw new IllegalStateException(published.errors());
+        }
+        deployment.awaitReady();
+        Deployment.await("shares to fill", this::bigAccountHasTokens);
+    }
+
+    static SmallFleet start(Path work) throws IOException, InterruptedException {
+        return new SmallFleet(
+                Deployment.prepare(Path.of("src/test/fleet"), work, EngineOptions.standard(), JAVA_OPTIONS));
+    }
+
+    private boolean bigAccountHasTokens() throws InterruptedException {
+        for (HostProcess host : deployment.hosts().values()) {
+            try {
+                if (action(host, "warm-up", UUID.randomUUID().toString()).statusCode() != 200) {
+                    return false;
+                }
+            } catch (IOException e) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    Deployment deployment() {
+        return deployment;
+    }
+
+    HostProcess host(String name) {
+        return deployment.hosts().get(name);
+    }
+
+    CallerClient client() {
+        return client;
+    }
+
+    String bigKey() {
+        return bigKey;
+    }
+
+    String limitedKey() {
+        return limitedKey;
+    }
+
+    String southernKey() {
+        return southernKey;
+    }
+
+    /** Asks for a chat and returns the whole answer. */
+    HttpResponse<String> chat(HostProcess host, String key, int tokens) throws IOException, InterruptedException {
+        URI address = host.caller().resolve("/v1/chat/completions");
+        return client.send(CallerClient.Call.post(address, key, CallerClient.chat("m", "hello there", tokens, false)));
+    }
+
+    /** Asks for a one-time action under an idempotency key. */
+    HttpResponse<String> action(HostProcess host, String name, String idempotencyKey)
+            throws IOException, InterruptedException {
+        URI address = host.caller().resolve("/services/desk/actions/" + name);
+        return client.send(CallerClient.Call.post(address, bigKey, "{}").once(idempotencyKey));
+    }
+
+    /** Returns how often an action ran, over all services. */
+    long runs(String name) throws IOException, InterruptedException {
+        long runs = 0;
+        for (PlainServer plain : deployment.plains().values()) {
+            URI stats = URI.create("http://127.0.0.1:" + plain.port() + "/stats");
+            runs += JSON.readTree(deployment.get(stats).body())
+                    .path("/actions/" + name)
+                    .asLong();
+        }
+        return runs;
+    }
+
+    /** Makes every plain service slow, or lose answers after it ran. */
+    void plainFaults(String query) throws IOException, InterruptedException {
+        for (PlainServer plain : deployment.plains().values()) {
+            deployment.get(URI.create("http://127.0.0.1:" + plain.port() + "/faults?" + query));
+        }
+    }
+
+    /** Sets faults of the platform. */
+    void platformFaults(String json) throws IOException, InterruptedException {
+        client.send(CallerClient.Call.post(deployment.platformAddress().resolve("/faults"), "", json)
+                .anonymous());
+    }
+
+    /** Returns the fields of a refusal. */
+    static JsonNode error(HttpResponse<String> answer) throws IOException {
+        return JSON.readTree(answer.body()).path("error");
+    }
+
+    @Override
+    public void close() {
+        deployment.close();
+    }
+}
