Pass streamed pieces on at once, and measure the path

Ruled out: the engine's client (its reads return single events) and the network.

Change: no outbound buffer, no compression; the timer of the gaps is looked up once a request; one malloc arena less a core.

--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/GatewayApplication.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/GatewayApplication.java
@@ -4,12 +4,14 @@
 import com.google.inject.Injector;
 import io.dropwizard.configuration.JsonConfigurationFactory;
 import io.dropwizard.core.Application;
+import io.dropwizard.core.server.AbstractServerFactory;
 import io.dropwizard.core.setup.Bootstrap;
 import io.dropwizard.core.setup.Environment;
 import io.dropwizard.lifecycle.Managed;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import org.eclipse.jetty.util.component.LifeCycle;
+import org.glassfish.jersey.server.ServerProperties;
 import org.toucanlane.gateway.admin.DrainServlet;
 import org.toucanlane.gateway.admin.ExplainServlet;
 import org.toucanlane.gateway.admin.MetricsServlet;
@@ -37,6 +39,7 @@
     @Override
     public void run(GatewaySettings settings, Environment environment) throws IOException {
         Injector injector = Guice.createInjector(new GatewayModule(settings));
+        passPiecesOnAtOnce(settings, environment);
         environment.jersey().register(injector.getInstance(ModelResource.class));
         environment.jersey().register(injector.getInstance(PlainResource.class));
         environment.jersey().register(injector.getInstance(DirectoryResource.class));
@@ -46,6 +49,14 @@
         drainBeforeStop(injector.getInstance(Drain.class), environment);
     }
 
+    /** Turns off what would hold back the pieces of a stream: the buffer for short answers, and compression. */
+    private static void passPiecesOnAtOnce(GatewaySettings settings, Environment environment) {
+        environment.jersey().property(ServerProperties.OUTBOUND_CONTENT_LENGTH_BUFFER, 0);
+        if (settings.getServerFactory() instanceof AbstractServerFactory server) {
+            server.getGzipFilterFactory().setEnabled(false);
+        }
+    }
+
     private static void registerAdmin(Injector injector, Environment environment) {
         PrometheusMeterRegistry registry = injector.getInstance(PrometheusMeterRegistry.class);
         environment
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/telemetry/RequestMetrics.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/telemetry/RequestMetrics.java
@@ -69,8 +69,9 @@
         timer("toucanlane.first.piece", "account", account).record(nanos, TimeUnit.NANOSECONDS);
     }
 
-    void gap(String service, long nanos) {
-        timer("toucanlane.piece.gap", "service", service).record(nanos, TimeUnit.NANOSECONDS);
+    /** Returns the timer of the gaps between pieces, so that it is looked up once a request and not once a piece. */
+    Timer gaps(String service) {
+        return timer("toucanlane.piece.gap", "service", service);
     }
 
     void ended(String account, long nanos) {
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/telemetry/RequestRecord.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/telemetry/RequestRecord.java
@@ -1,8 +1,10 @@
 package org.toucanlane.gateway.telemetry;
 
+import io.micrometer.core.instrument.Timer;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,6 +32,7 @@
     private String account = "";
     private String service = "";
     private long lastPieceAt;
+    private Timer gaps;
 
     RequestRecord(RequestMetrics metrics, String requestId) {
         this.metrics = metrics;
@@ -62,8 +65,9 @@
         long now = System.nanoTime();
         if (lastPieceAt == 0) {
             metrics.firstPiece(account, now - startedAt);
+            gaps = metrics.gaps(service);
         } else {
-            metrics.gap(service, now - lastPieceAt);
+            gaps.record(now - lastPieceAt, TimeUnit.NANOSECONDS);
         }
         lastPieceAt = now;
     }
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/Deployment.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/Deployment.java
@@ -41,7 +41,7 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final Duration START_TIME = Duration.ofSeconds(60);
-    private static final long POLL_MILLIS = 100;
+    private static final long POLL_MILLIS = 50;
 
     private final Path work;
     private final List<String> javaOptions;
@@ -250,6 +250,31 @@
                 HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Sends a POST without a key. */
+    public HttpResponse<String> post(URI address, String body) throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(address)
+                .timeout(Duration.ofSeconds(5))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Returns the oldest configuration version that any running host has in force; 0 if one does not answer. */
+    public long leastVersion() throws InterruptedException {
+        long least = Long.MAX_VALUE;
+        for (HostProcess host : hosts.values()) {
+            try {
+                String status = get(host.admin().resolve("/status")).body();
+                least = Math.min(
+                        least,
+                        JSON.readTree(status).path("configurationVersion").asLong());
+            } catch (IOException e) {
+                return 0;
+            }
+        }
+        return least;
+    }
+
     /** Waits until {@code condition} holds; throws if it does not within a minute. */
     public static void await(String what, Condition condition) throws InterruptedException {
         long end = System.nanoTime() + START_TIME.toNanos();
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/HostProcess.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/HostProcess.java
@@ -42,8 +42,9 @@
         command.add(System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")));
         command.add("org.toucanlane.gateway.GatewayMain");
         command.add(settings.toString());
-        process = new ProcessBuilder(command)
-                .redirectErrorStream(true)
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().put("MALLOC_ARENA_MAX", "2");
+        process = builder.redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
                 .start();
     }
--- /dev/null
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/OpenLoop.java
@@ -0,0 +1,32 @@
+package org.toucanlane.standins.measure;
+
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
+
+/** Starts calls at a steady rate, whether or not earlier ones have ended. Stateless and thread-safe. */
+final class OpenLoop {
+
+    private static final long DRAIN_SECONDS = 60;
+
+    private OpenLoop() {}
+
+    /** Runs {@code call} with 0, 1, 2 and so on, {@code perSecond} times a second for {@code seconds}. */
+    static void run(double perSecond, double seconds, IntConsumer call) throws InterruptedException {
+        ExecutorService threads = Executors.newCachedThreadPool();
+        long interval = (long) (TimeUnit.SECONDS.toNanos(1) / perSecond);
+        int count = (int) (perSecond * seconds);
+        long next = System.nanoTime();
+        for (int i = 0; i < count; i++) {
+            int index = i;
+            TimeUnit.NANOSECONDS.sleep(next - System.nanoTime());
+            threads.execute(() -> call.accept(index));
+            next += interval;
+        }
+        threads.shutdown();
+        if (!threads.awaitTermination(DRAIN_SECONDS, TimeUnit.SECONDS)) {
+            threads.shutdownNow();
+        }
+    }
+}
