Bound the daemon's memory and measure it with the target's configuration

Cause: 402 MB resident with 2,500 accounts and 10,000 keys, measured after 500 streams, of which the collector had given nothing back; the heap was bounded at 192 MB though 20 MB are live.

Change: heap 104 MB, young part 24 MB, bounded code cache and direct memory; the measurement loads the target's configuration into a fresh host before any load.

Ruled out: the configuration itself, which adds 16 MB; class data (46 MB) and the machine's libraries (30 MB) stay.

--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/PathMeasurement.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/PathMeasurement.java
@@ -19,7 +19,13 @@
  */
 final class PathMeasurement implements Measurement {
 
-    private static final List<String> JAVA_OPTIONS = List.of("-Xmx192m", "-XX:+UseSerialGC", "-Xss256k");
+    private static final List<String> JAVA_OPTIONS = List.of(
+            "-Xmx104m",
+            "-Xmn24m",
+            "-Xss256k",
+            "-XX:+UseSerialGC",
+            "-XX:ReservedCodeCacheSize=48m",
+            "-XX:MaxDirectMemorySize=48m");
     private static final EngineOptions ENGINE = new EngineOptions(2000, 6_667, 0, 0, 64, 300);
     private static final int TOKENS = 8;
     private static final int WORDS = 10;
@@ -41,13 +47,11 @@
             HostProcess host = deployment.hosts().get("h0");
             EngineServer engine = deployment.engines().get("e0");
             URI direct = URI.create("http://127.0.0.1:" + engine.port());
-            Thread.sleep(3000);
-            result.put("resident_at_rest_mb", ProcessUse.of(host.pid()).residentMegabytes());
+            loadTargetConfiguration(deployment, host, work, result);
             compare(250, 10, direct, host.caller(), key, null);
             compare(25, 8, direct, host.caller(), key, result);
             compare(250, 12, direct, host.caller(), key, result);
             streams(host, key, result);
-            loadTargetConfiguration(deployment, host, work, result);
         }
     }
 
@@ -126,6 +130,8 @@
             throws IOException, InterruptedException {
         GeneratedFleet target = new GeneratedFleet(Files.createDirectories(work.resolve("target")));
         target.manyAccounts(TARGET_ACCOUNTS, KEYS_EACH);
+        Thread.sleep(3000);
+        result.put("resident_at_rest_mb", ProcessUse.of(host.pid()).residentMegabytes());
         long started = System.nanoTime();
         Deployment.CommandResult published =
                 deployment.command("publish", "--wait", target.root().toString());
