--- /dev/null
+++ b/toucanlane-cli/src/test/java/org/toucanlane/cli/MainTest.java
@@ -0,0 +1,102 @@
+package org.toucanlane.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class MainTest {
+
+    private static final String FILE = """
+            {
+              "name": "all",
+              "regions": [{"name": "r", "dataCentres": [{"name": "d", "hosts": ["h"]}]}],
+              "accounts": [{"name": "one", "tokensPerSecond": 10, "burstTokens": 100}]
+            }
+            """;
+
+    @TempDir
+    private Path folder;
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    @BeforeEach
+    void write() throws IOException {
+        Files.writeString(folder.resolve("toucanlane.json"), FILE);
+        Files.writeString(folder.resolve("secret"), "secret");
+    }
+
+    private ExitCode run(String... arguments) throws InterruptedException {
+        out.reset();
+        err.reset();
+        int code = Main.run(
+                arguments,
+                new PrintStream(out, true, StandardCharsets.UTF_8),
+                new PrintStream(err, true, StandardCharsets.UTF_8));
+        return ExitCode.values()[code];
+    }
+
+    private String output() {
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    private String errors() {
+        return err.toString(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void helpListsCommandsAndExitCodes() throws Exception {
+        assertThat(run("--help")).isEqualTo(ExitCode.DONE);
+        assertThat(output()).contains("publish", "validate", "Exit codes", "another publication stands in the way");
+    }
+
+    @Test
+    void aGoodFolderIsValid() throws Exception {
+        assertThat(run("validate", folder.toString())).isEqualTo(ExitCode.DONE);
+        assertThat(output()).contains("1 accounts");
+    }
+
+    @Test
+    void aBadFileIsNamedWithItsLineAndChangesNothing() throws Exception {
+        Files.writeString(folder.resolve("toucanlane.json"), FILE.replace("accounts", "acounts"));
+        assertThat(run("validate", folder.toString())).isEqualTo(ExitCode.INVALID);
+        assertThat(errors()).contains("toucanlane.json:4", "did you mean \"accounts\"?");
+    }
+
+    @Test
+    void anIssuedKeyIsShownOnceAndWrittenOnlyByItsHash() throws Exception {
+        String secret = folder.resolve("secret").toString();
+        assertThat(run("key", "--account", "one", "--secret-file", secret, "issue", folder.toString()))
+                .isEqualTo(ExitCode.DONE);
+        String key = output().strip();
+        String written = Files.readString(folder.resolve("toucanlane.json"));
+        assertThat(key).startsWith("tl-");
+        assertThat(written).contains(key.split("-")[1]).doesNotContain(key.split("-")[2]);
+        assertThat(run("key", "withdraw", key.split("-")[1], folder.toString())).isEqualTo(ExitCode.DONE);
+        assertThat(Files.readString(folder.resolve("toucanlane.json"))).doesNotContain(key.split("-")[1]);
+    }
+
+    @Test
+    void wrongArgumentsAreUsageErrors() throws Exception {
+        assertThat(run()).isEqualTo(ExitCode.USAGE);
+        assertThat(run("nonsense")).isEqualTo(ExitCode.USAGE);
+        assertThat(run("validate", folder.resolve("absent").toString())).isEqualTo(ExitCode.USAGE);
+        assertThat(run("key", "issue", folder.toString())).isEqualTo(ExitCode.USAGE);
+        assertThat(run("publish", folder.toString())).isEqualTo(ExitCode.USAGE);
+    }
+
+    @Test
+    void aStoreThatIsAwayIsAFailure() throws Exception {
+        assertThat(run("--store", "http://127.0.0.1:1", "publish", folder.toString()))
+                .isEqualTo(ExitCode.FAILED);
+        assertThat(errors()).contains("no connection to the store");
+    }
+}
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/GatewaySettings.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/GatewaySettings.java
@@ -91,6 +91,10 @@
     @NotNull
     private Duration keepClaims = Duration.hours(24);
 
+    /** Whether hosts borrow from each other; without it each uses only the shares that it holds. */
+    @JsonProperty
+    private boolean borrowing = true;
+
     @JsonProperty
     @Min(1)
     private int claimShards = 16;
@@ -184,6 +188,11 @@
         return keepClaims.toJavaDuration();
     }
 
+    /** Returns whether this host borrows tokens from others. */
+    public boolean isBorrowing() {
+        return borrowing;
+    }
+
     /** Returns the number of shards of the claim log, the same on all hosts. */
     public int claimShards() {
         return claimShards;
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/LoanLinks.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/LoanLinks.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeoutException;
 import org.toucanlane.coordination.share.LoanGrant;
 import org.toucanlane.coordination.share.LoanTransport;
+import org.toucanlane.gateway.GatewaySettings;
 import org.toucanlane.wire.proto.LoanReply;
 import org.toucanlane.wire.proto.LoanRequest;
 import org.toucanlane.wire.proto.LoanReturn;
@@ -18,11 +19,13 @@
 public final class LoanLinks implements LoanTransport {
 
     private final PeerHub peers;
+    private final boolean borrowing;
 
     /** Creates a transport over the hub's links. */
     @Inject
-    public LoanLinks(PeerHub peers) {
+    public LoanLinks(PeerHub peers, GatewaySettings settings) {
         this.peers = peers;
+        this.borrowing = settings.isBorrowing();
     }
 
     @Override
@@ -64,6 +67,8 @@
 
     @Override
     public boolean isReachable(String host) {
-        return peers.membership().state(host).takesWork() && peers.link(host).isPresent();
+        return borrowing
+                && peers.membership().state(host).takesWork()
+                && peers.link(host).isPresent();
     }
 }
--- a/toucanlane-platform/src/main/java/org/toucanlane/platform/publish/Publisher.java
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/publish/Publisher.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import org.toucanlane.coordination.share.ShareSplit;
 import org.toucanlane.coordination.store.KeyValueStore;
 import org.toucanlane.coordination.store.StoreConflictException;
@@ -29,13 +30,14 @@
  * quicker, documents of other names are merged; one of the same name is a conflict. When a write's answer is lost, the
  * manifest is read back.
  *
- * <p>Immutable and thread-safe.
+ * <p>Documents that were read are kept, since what is under a content hash never changes. Thread-safe.
  */
 public final class Publisher {
 
     private static final int MAX_ROUNDS = 16;
 
     private final KeyValueStore store;
+    private final Map<String, ServiceDocument> known = new ConcurrentHashMap<>();
 
     /** Creates a publisher over the platform's service. */
     public Publisher(KeyValueStore store) {
@@ -64,9 +66,15 @@
 
     private ServiceDocument fetch(String name, String hash)
             throws StoreException, IOException, InvalidConfigurationException {
-        VersionedValue chunk = store.get(Manifest.chunkKey(hash))
-                .orElseThrow(() -> new IOException("document " + name + " (" + hash + ") is missing from the store"));
-        return ServiceDocument.parse(name, new String(chunk.value(), StandardCharsets.UTF_8));
+        ServiceDocument document = known.get(hash);
+        if (document == null) {
+            VersionedValue chunk = store.get(Manifest.chunkKey(hash))
+                    .orElseThrow(
+                            () -> new IOException("document " + name + " (" + hash + ") is missing from the store"));
+            document = ServiceDocument.parse(name, new String(chunk.value(), StandardCharsets.UTF_8));
+            known.put(hash, document);
+        }
+        return document;
     }
 
     /**
@@ -145,9 +153,11 @@
 
     private void writeChunks(Collection<ServiceDocument> documents) throws StoreException {
         for (ServiceDocument document : documents) {
-            String key = Manifest.chunkKey(document.contentHash());
-            if (store.get(key).isEmpty()) {
-                writeChunk(key, document.text().getBytes(StandardCharsets.UTF_8));
+            if (!known.containsKey(document.contentHash())) {
+                writeChunk(
+                        Manifest.chunkKey(document.contentHash()),
+                        document.text().getBytes(StandardCharsets.UTF_8));
+                known.put(document.contentHash(), document);
             }
         }
     }
--- /dev/null
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/FairQueueTest.java
@@ -0,0 +1,107 @@
+package org.toucanlane.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.toucanlane.policy.queue.FairQueue;
+import org.toucanlane.policy.queue.QueueFullException;
+
+class FairQueueTest {
+
+    private static final Duration LONG = Duration.ofSeconds(30);
+
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+
+    @AfterEach
+    void stop() {
+        threads.shutdownNow();
+    }
+
+    @Test
+    void anAccountThatFloodsTheQueueDoesNotHoldUpAnother() throws Exception {
+        FairQueue queue = new FairQueue(1, 100, 100);
+        List<String> order = Collections.synchronizedList(new ArrayList<>());
+        FairQueue.Place first = queue.acquire("starter", 1, 1, LONG);
+        CountDownLatch done = new CountDownLatch(24);
+        for (int i = 0; i < 20; i++) {
+            enqueue(queue, "flood", order, done, i + 1);
+        }
+        for (int i = 0; i < 4; i++) {
+            enqueue(queue, "calm", order, done, 21 + i);
+        }
+        first.close();
+        done.await();
+        assertThat(order.subList(0, 8))
+                .as("of the first eight places")
+                .filteredOn("calm"::equals)
+                .hasSize(4);
+    }
+
+    private void enqueue(FairQueue queue, String account, List<String> order, CountDownLatch done, int waiting)
+            throws InterruptedException {
+        threads.submit(() -> {
+            try (FairQueue.Place place = queue.acquire(account, 1, 100, LONG)) {
+                order.add(account);
+                return place;
+            } finally {
+                done.countDown();
+            }
+        });
+        while (queue.waiting() < waiting) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    void aFullQueueRefusesAtOnceAndHoldsNothing() throws Exception {
+        FairQueue queue = new FairQueue(1, 0, 0);
+        FairQueue.Place place = queue.acquire("a", 1, 1, LONG);
+        assertThatThrownBy(() -> queue.acquire("b", 1, 1, LONG))
+                .isInstanceOfSatisfying(
+                        QueueFullException.class,
+                        e -> assertThat(e.reason()).isEqualTo(QueueFullException.Reason.NO_ROOM));
+        place.close();
+        place.close();
+        assertThat(queue.running()).isZero();
+        queue.acquire("b", 1, 1, LONG).close();
+    }
+
+    @Test
+    void aRequestThatCannotStartInTimeLeavesTheQueue() throws Exception {
+        FairQueue queue = new FairQueue(1, 10, 10);
+        FairQueue.Place place = queue.acquire("a", 1, 1, LONG);
+        assertThatThrownBy(() -> queue.acquire("b", 1, 1, Duration.ofMillis(1))).isInstanceOf(QueueFullException.class);
+        assertThat(queue.waiting()).isZero();
+        place.close();
+    }
+
+    @Test
+    void aClosedQueueRefusesThoseThatWait() throws Exception {
+        FairQueue queue = new FairQueue(1, 10, 10);
+        FairQueue.Place place = queue.acquire("a", 1, 1, LONG);
+        CountDownLatch refused = new CountDownLatch(1);
+        threads.submit(() -> {
+            try {
+                queue.acquire("b", 1, 1, LONG).close();
+            } catch (QueueFullException e) {
+                refused.countDown();
+            }
+            return null;
+        });
+        while (queue.waiting() < 1) {
+            Thread.onSpinWait();
+        }
+        queue.close();
+        refused.await();
+        place.close();
+    }
+}
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/Deployment.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/Deployment.java
@@ -46,6 +46,7 @@
     private final Path work;
     private final List<String> javaOptions;
     private final EngineOptions engineOptions;
+    private final ObjectNode extraSettings;
     private final Closer closer = Closer.create();
     private final FreePorts ports = new FreePorts();
     private final FaultProxy proxy = new FaultProxy();
@@ -57,8 +58,9 @@
     private ExampleFolders folders;
     private Path secretFile;
 
-    private Deployment(Path work, EngineOptions engineOptions, List<String> javaOptions) {
+    private Deployment(Path work, EngineOptions engineOptions, List<String> javaOptions, ObjectNode extraSettings) {
         this.work = work;
+        this.extraSettings = extraSettings;
         this.engineOptions = engineOptions;
         this.javaOptions = List.copyOf(javaOptions);
     }
@@ -72,7 +74,14 @@
      */
     public static Deployment prepare(Path example, Path work, EngineOptions engineOptions, List<String> javaOptions)
             throws IOException, InterruptedException {
-        Deployment deployment = new Deployment(work, engineOptions, javaOptions);
+        return prepare(example, work, engineOptions, javaOptions, JSON.createObjectNode());
+    }
+
+    /** Prepares a deployment whose hosts have {@code extraSettings} beside the usual ones. */
+    public static Deployment prepare(
+            Path example, Path work, EngineOptions engineOptions, List<String> javaOptions, ObjectNode extraSettings)
+            throws IOException, InterruptedException {
+        Deployment deployment = new Deployment(work, engineOptions, javaOptions, extraSettings);
         try {
             deployment.prepareStandIns(example);
             deployment.prepareHosts();
@@ -156,6 +165,7 @@
         ObjectNode appender = logging.putArray("appenders").addObject();
         appender.put("type", "console");
         appender.putObject("layout").put("type", "json");
+        settings.setAll(extraSettings);
         Files.writeString(
                 work.resolve(host.name() + ".json"),
                 JSON.writerWithDefaultPrettyPrinter().writeValueAsString(settings));
