--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/hash/RendezvousHash.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/hash/RendezvousHash.java
@@ -13,7 +13,8 @@
  * Highest-random-weight placement (Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998).
  *
  * <p>Every caller that knows the same nodes places a key on the same node. Removing a node moves only the keys it
- * held. Stateless and thread-safe.
+ * held. The weight of a node for a key mixes the hashes of both, so that names that are placed often need to be hashed
+ * only once. Stateless and thread-safe.
  */
 public final class RendezvousHash {
 
@@ -21,33 +22,41 @@
 
     private RendezvousHash() {}
 
-    /**
-     * Returns the node that holds {@code key}, or empty if there are no nodes. Takes time linear in the nodes.
-     *
-     * @throws NullPointerException if an argument is null
-     */
-    public static Optional<String> pick(String key, Collection<String> nodes) {
-        Preconditions.checkNotNull(key, "key");
-        return nodes.stream().max(byWeight(key));
+    /** Returns the hash of a key or of a node, for {@link #weight(long, long)}. */
+    public static long hash(String name) {
+        Preconditions.checkNotNull(name, "name");
+        return HASH.hashString(name, StandardCharsets.UTF_8).asLong();
     }
 
-    /** Returns all nodes, the holder of {@code key} first and each next one its successor. */
-    public static List<String> rank(String key, Collection<String> nodes) {
-        Preconditions.checkNotNull(key, "key");
-        return nodes.stream().sorted(byWeight(key).reversed()).toList();
+    /** Returns the weight of a node for a key, from the hashes of their names. */
+    public static long weight(long keyHash, long nodeHash) {
+        return mix(mix(nodeHash) ^ keyHash);
     }
 
-    private static Comparator<String> byWeight(String key) {
-        return Comparator.<String>comparingLong(node -> weight(key, node)).thenComparing(Comparator.naturalOrder());
+    /** Spreads 64 bits: the finalizer of SplitMix64 (Steele, Lea and Flood, 2014). */
+    private static long mix(long bits) {
+        long z = bits + 0x9e3779b97f4a7c15L;
+        z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+        return z ^ (z >>> 31);
     }
 
-    /** Returns the weight of {@code node} for {@code key}, any long. */
+    /** Returns the weight of {@code node} for {@code key}. */
     public static long weight(String key, String node) {
-        return HASH.newHasher()
-                .putString(key, StandardCharsets.UTF_8)
-                .putByte((byte) 0)
-                .putString(node, StandardCharsets.UTF_8)
-                .hash()
-                .asLong();
+        return weight(hash(key), hash(node));
+    }
+
+    /** Returns the node that holds {@code key}, or empty if there are no nodes. Takes time linear in the nodes. */
+    public static Optional<String> pick(String key, Collection<String> nodes) {
+        return HashedNodes.of(nodes).pick(key);
+    }
+
+    /** Returns all nodes, the holder of {@code key} first and each next one its successor. */
+    public static List<String> rank(String key, Collection<String> nodes) {
+        long keyHash = hash(key);
+        Comparator<String> byWeight = Comparator.comparingLong(node -> weight(keyHash, hash(node)));
+        return nodes.stream()
+                .sorted(byWeight.thenComparing(Comparator.naturalOrder()).reversed())
+                .toList();
     }
 }
--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/membership/MembershipView.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/membership/MembershipView.java
@@ -18,6 +18,9 @@
  */
 public final class MembershipView {
 
+    /** Heartbeats that may fail to come before a host counts as silent. */
+    private static final int MISSED_HEARTBEATS = 4;
+
     private final MonotonicClock clock;
     private final Duration silentAfter;
     private final Map<String, Member> members = new ConcurrentHashMap<>();
@@ -25,7 +28,8 @@
     /**
      * Creates an empty view.
      *
-     * @param silentAfter how long after its last heartbeat a host counts as silent
+     * @param silentAfter how long after its last heartbeat a host counts as silent, unless its heartbeats are further
+     *     apart
      */
     public MembershipView(MonotonicClock clock, Duration silentAfter) {
         Preconditions.checkArgument(!silentAfter.isNegative(), "silentAfter must not be negative: %s", silentAfter);
@@ -50,6 +54,7 @@
                 next.incarnation(),
                 Math.max(old.configurationVersion(), next.configurationVersion()),
                 old.leaving() || next.leaving(),
+                next.nextWithinNanos(),
                 Math.max(old.heardAtNanos(), next.heardAtNanos()));
     }
 
@@ -59,7 +64,8 @@
         if (member == null) {
             return MemberState.UNKNOWN;
         }
-        if (clock.nanos() - member.heardAtNanos() > silentAfter.toNanos()) {
+        long patience = Math.max(silentAfter.toNanos(), MISSED_HEARTBEATS * member.nextWithinNanos());
+        if (clock.nanos() - member.heardAtNanos() > patience) {
             return MemberState.SILENT;
         }
         return member.leaving() ? MemberState.LEAVING : MemberState.ALIVE;
--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareLedger.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareLedger.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import org.toucanlane.coordination.clock.MonotonicClock;
@@ -66,7 +67,8 @@
             return;
         }
         long now = clock.nanos();
-        next.accounts().forEach(account -> applyLimit(account, next, confirmed, now));
+        Set<String> affected = next == table ? next.moving() : next.accounts();
+        affected.forEach(account -> applyLimit(account, next, confirmed, now));
         shares.forEach((account, share) -> {
             if (!next.accounts().contains(account)) {
                 share.resize(ShareLimit.NONE, now);
--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareSplit.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareSplit.java
@@ -10,7 +10,7 @@
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
-import org.toucanlane.coordination.hash.RendezvousHash;
+import org.toucanlane.coordination.hash.HashedNodes;
 
 /**
  * Division of an account's limit into one share a data centre, each held by one host there.
@@ -25,21 +25,23 @@
      * Returns the holders of {@code account}, largest share first.
      *
      * @param weights relative weight of each data centre; those without a positive weight or without hosts get nothing
-     * @param hosts host names by data centre
+     * @param hosts hosts by data centre
      */
     public static List<HostShare> of(
-            String account, ShareLimit whole, Map<String, Integer> weights, Map<String, List<String>> hosts) {
+            String account, ShareLimit whole, Map<String, Integer> weights, Map<String, HashedNodes> hosts) {
         Preconditions.checkNotNull(whole, "whole");
         Map<String, Integer> effective = new TreeMap<>();
         weights.forEach((dataCentre, weight) -> {
-            if (weight > 0 && !hosts.getOrDefault(dataCentre, List.of()).isEmpty()) {
+            if (weight > 0
+                    && hosts.containsKey(dataCentre)
+                    && !hosts.get(dataCentre).isEmpty()) {
                 effective.put(dataCentre, weight);
             }
         });
         long total = effective.values().stream().mapToLong(Integer::longValue).sum();
         List<HostShare> shares = new ArrayList<>();
         effective.forEach((dataCentre, weight) -> {
-            String holder = RendezvousHash.pick(account, hosts.get(dataCentre)).orElseThrow();
+            String holder = hosts.get(dataCentre).pick(account).orElseThrow();
             shares.add(new HostShare(holder, dataCentre, part(whole, weight, total)));
         });
         shares.sort((a, b) -> Long.compare(b.limit().burstTokens(), a.limit().burstTokens()));
--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareTable.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareTable.java
@@ -21,6 +21,7 @@
     private final ImmutableMap<String, List<HostShare>> shares;
     private final ImmutableMap<String, List<HostShare>> earlier;
     private final ImmutableSet<String> members;
+    private final ImmutableSet<String> moving;
 
     private ShareTable(
             long version,
@@ -31,6 +32,10 @@
         this.shares = shares;
         this.earlier = earlier;
         this.members = members;
+        this.moving = earlier.entrySet().stream()
+                .filter(entry -> ShareSplit.isMove(entry.getValue(), shares.getOrDefault(entry.getKey(), List.of())))
+                .map(Map.Entry::getKey)
+                .collect(ImmutableSet.toImmutableSet());
     }
 
     /** Returns a table without accounts. */
@@ -70,10 +75,23 @@
         return shares.getOrDefault(account, List.of());
     }
 
-    /** Returns whether {@code account} had other holders, or other parts, before the last move. */
+    /** Returns the accounts of which some host got less, and some other one more, in the last move. */
+    Set<String> moving() {
+        return moving;
+    }
+
+    /** Returns whether {@code account} is one of {@link #moving()}. */
     boolean isMoving(String account) {
-        List<HostShare> before = earlier.getOrDefault(account, List.of());
-        return ShareSplit.isMove(before, holders(account));
+        return moving.contains(account);
+    }
+
+    /** Returns the hosts whose confirmation {@code host} needs before it may use shares that move to it. */
+    public Set<String> awaitedBy(String host) {
+        return moving.stream()
+                .filter(account -> ShareSplit.heldBy(host, holders(account)) != ShareLimit.NONE)
+                .flatMap(account -> earlier.get(account).stream().map(HostShare::host))
+                .filter(holder -> !holder.equals(host) && members.contains(holder))
+                .collect(ImmutableSet.toImmutableSet());
     }
 
     /**
--- a/toucanlane-coordination/src/test/java/org/toucanlane/coordination/membership/MembershipViewTest.java
+++ b/toucanlane-coordination/src/test/java/org/toucanlane/coordination/membership/MembershipViewTest.java
@@ -12,7 +12,7 @@
     private final MembershipView view = new MembershipView(now::get, Duration.ofSeconds(2));
 
     private boolean hear(long incarnation, long version, boolean leaving) {
-        return view.observe(new Member("h1", "d1", incarnation, version, leaving, now.get()));
+        return view.observe(new Member("h1", "d1", incarnation, version, leaving, 0, now.get()));
     }
 
     @Test
@@ -45,4 +45,14 @@
         hear(2, 6, false);
         assertThat(view.state("h1")).isEqualTo(MemberState.ALIVE);
     }
+
+    @Test
+    void aHostWhoseHeartbeatsAreFurtherApartIsWaitedForLonger() {
+        long interval = Duration.ofSeconds(3).toNanos();
+        view.observe(new Member("h2", "d2", 1, 1, false, interval, now.get()));
+        now.addAndGet(Duration.ofSeconds(8).toNanos());
+        assertThat(view.state("h2")).isEqualTo(MemberState.ALIVE);
+        now.addAndGet(Duration.ofSeconds(5).toNanos());
+        assertThat(view.state("h2")).isEqualTo(MemberState.SILENT);
+    }
 }
--- a/toucanlane-coordination/src/test/java/org/toucanlane/coordination/share/LedgerFleetTest.java
+++ b/toucanlane-coordination/src/test/java/org/toucanlane/coordination/share/LedgerFleetTest.java
@@ -14,6 +14,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Test;
+import org.toucanlane.coordination.hash.HashedNodes;
 
 /** Eight hosts in three data centres against one bucket for the whole fleet. */
 class LedgerFleetTest {
@@ -22,6 +23,10 @@
     private static final ShareLimit LIMIT = new ShareLimit(1000, 4000);
     private static final Map<String, List<String>> HOSTS =
             Map.of("a", List.of("a1", "a2", "a3"), "b", List.of("b1", "b2", "b3"), "c", List.of("c1", "c2"));
+    private static final Map<String, HashedNodes> HASHED = Map.of(
+            "a", HashedNodes.of(HOSTS.get("a")),
+            "b", HashedNodes.of(HOSTS.get("b")),
+            "c", HashedNodes.of(HOSTS.get("c")));
     private static final long MILLI = Duration.ofMillis(1).toNanos();
 
     private final Map<String, ShareLedger> ledgers = new HashMap<>();
@@ -44,7 +49,7 @@
                 .clock(() -> now)
                 .transport(new LossyNetwork())
                 .build();
-        List<HostShare> shares = ShareSplit.of(ACCOUNT, LIMIT, Map.of("a", 1, "b", 1, "c", 1), HOSTS);
+        List<HostShare> shares = ShareSplit.of(ACCOUNT, LIMIT, Map.of("a", 1, "b", 1, "c", 1), HASHED);
         ledger.apply(ShareTable.of(1, Map.of(ACCOUNT, shares), Map.of(), Set.of()), Map.of());
         return ledger;
     }
--- a/toucanlane-coordination/src/test/java/org/toucanlane/coordination/share/ShareMovePropertyTest.java
+++ b/toucanlane-coordination/src/test/java/org/toucanlane/coordination/share/ShareMovePropertyTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Test;
+import org.toucanlane.coordination.hash.HashedNodes;
 
 /** Divisions of a limit, and what hosts use of it while it moves from one division to another. */
 class ShareMovePropertyTest {
@@ -42,7 +43,8 @@
                 ACCOUNT,
                 WHOLE,
                 Map.of("a", 3, "b", 2, "c", 2, "empty", 5, "none", 0),
-                Map.of("a", List.of("a1", "a2"), "b", List.of("b1"), "c", List.of("c1"), "none", List.of("n1")));
+                hashed(Map.of(
+                        "a", List.of("a1", "a2"), "b", List.of("b1"), "c", List.of("c1"), "none", List.of("n1"))));
         assertThat(shares).extracting(HostShare::dataCentre).containsExactlyInAnyOrder("a", "b", "c");
         ShareLimit sum = shares.stream().map(HostShare::limit).reduce(ShareLimit.NONE, ShareMovePropertyTest::plus);
         assertThat(sum).isEqualTo(WHOLE);
@@ -86,7 +88,13 @@
         hosts.values().forEach(list -> list.removeIf(host -> list.size() > 1 && random.nextBoolean()));
         Map<String, Integer> weights = new HashMap<>();
         hosts.keySet().forEach(dataCentre -> weights.put(dataCentre, random.nextInt(4)));
-        return ShareSplit.of(ACCOUNT, WHOLE, weights, hosts);
+        return ShareSplit.of(ACCOUNT, WHOLE, weights, hashed(hosts));
+    }
+
+    private static Map<String, HashedNodes> hashed(Map<String, List<String>> hosts) {
+        Map<String, HashedNodes> hashed = new HashMap<>();
+        hosts.forEach((dataCentre, names) -> hashed.put(dataCentre, HashedNodes.of(names)));
+        return hashed;
     }
 
     private static ShareLimit plus(ShareLimit a, ShareLimit b) {
--- a/toucanlane-domain/src/main/java/org/toucanlane/domain/configuration/ConfigurationSnapshot.java
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/configuration/ConfigurationSnapshot.java
@@ -2,9 +2,10 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.io.IOException;
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 import org.toucanlane.coordination.share.HostShare;
 import org.toucanlane.coordination.share.ShareTable;
@@ -14,54 +15,61 @@
  *
  * @param version revision of the manifest
  * @param manifestBytes the manifest as stored
- * @param chunks texts of all its documents, by content hash
+ * @param documents all its documents, by content hash
  * @param configuration the documents put together
  * @param shares who holds which share
  */
 public record ConfigurationSnapshot(
         long version,
         byte[] manifestBytes,
-        Map<String, String> chunks,
+        Map<String, ServiceDocument> documents,
         FleetConfiguration configuration,
         ShareTable shares) {
 
     /**
      * Puts a version together.
      *
-     * @param chunks returns the text of a document by its content hash, or null if it is missing
+     * @param previous an earlier version, whose documents are used again as far as they are the same
+     * @param texts returns the text of a document by its content hash, or null if it is missing; asked only for those
+     *     that the earlier version does not have
      * @throws IOException if the manifest can't be read or a document is missing or isn't the one that its hash names
      * @throws InvalidConfigurationException if a document has faults
      */
-    public static ConfigurationSnapshot load(long version, byte[] manifestBytes, Function<String, String> chunks)
+    public static ConfigurationSnapshot load(
+            long version,
+            byte[] manifestBytes,
+            Optional<ConfigurationSnapshot> previous,
+            Function<String, String> texts)
             throws IOException, InvalidConfigurationException {
         Manifest manifest = Manifest.decode(manifestBytes);
-        ImmutableMap.Builder<String, String> texts = ImmutableMap.builder();
+        Map<String, ServiceDocument> known =
+                previous.map(ConfigurationSnapshot::documents).orElse(Map.of());
+        ImmutableMap.Builder<String, ServiceDocument> documents = ImmutableMap.builder();
         for (String hash : manifest.hashes()) {
-            String text = chunks.apply(hash);
-            if (text == null) {
-                throw new IOException("document " + hash + " of version " + version + " is missing");
-            }
-            texts.put(hash, text);
+            documents.put(hash, known.containsKey(hash) ? known.get(hash) : parse(hash, texts.apply(hash)));
         }
-        Map<String, String> all = texts.buildOrThrow();
-        FleetConfiguration current = assemble(manifest.documents(), all);
+        Map<String, ServiceDocument> all = documents.buildOrThrow();
+        FleetConfiguration current = assemble(manifest.documents().values(), all);
         Map<String, List<HostShare>> earlier = manifest.earlier().isEmpty()
                 ? Map.of()
-                : assemble(manifest.earlier(), all).shareHolders();
+                : assemble(manifest.earlier().values(), all).shareHolders();
         ShareTable shares = ShareTable.of(version, current.shareHolders(), earlier, current.hosts());
         return new ConfigurationSnapshot(version, manifestBytes.clone(), all, current, shares);
     }
 
-    private static FleetConfiguration assemble(Map<String, String> documents, Map<String, String> texts)
-            throws IOException, InvalidConfigurationException {
-        List<ServiceDocument> parsed = new ArrayList<>();
-        for (Map.Entry<String, String> entry : documents.entrySet()) {
-            ServiceDocument document = ServiceDocument.parse(entry.getKey(), texts.get(entry.getValue()));
-            if (!document.contentHash().equals(entry.getValue())) {
-                throw new IOException("document " + entry.getKey() + " is not the one that its hash names");
-            }
-            parsed.add(document);
+    private static ServiceDocument parse(String hash, String text) throws IOException, InvalidConfigurationException {
+        if (text == null) {
+            throw new IOException("document " + hash + " is missing");
+        }
+        ServiceDocument document = ServiceDocument.parse(hash, text);
+        if (!document.contentHash().equals(hash)) {
+            throw new IOException("document " + document.name() + " is not the one that its hash names");
         }
-        return FleetConfiguration.assemble(parsed);
+        return document;
+    }
+
+    private static FleetConfiguration assemble(Collection<String> hashes, Map<String, ServiceDocument> documents)
+            throws InvalidConfigurationException {
+        return FleetConfiguration.assemble(hashes.stream().map(documents::get).toList());
     }
 }
--- a/toucanlane-domain/src/main/java/org/toucanlane/domain/configuration/FleetConfiguration.java
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/configuration/FleetConfiguration.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.toucanlane.coordination.hash.HashedNodes;
 import org.toucanlane.coordination.share.HostShare;
 import org.toucanlane.coordination.share.ShareLimit;
 import org.toucanlane.coordination.share.ShareSplit;
@@ -163,8 +164,9 @@
 
     /** Returns who holds which share of each account's limit. */
     public Map<String, List<HostShare>> shareHolders() {
-        ImmutableMap<String, List<String>> hosts =
-                dataCentres.values().stream().collect(ImmutableMap.toImmutableMap(DataCentre::name, DataCentre::hosts));
+        ImmutableMap<String, HashedNodes> hosts = dataCentres.values().stream()
+                .collect(ImmutableMap.toImmutableMap(
+                        DataCentre::name, dataCentre -> HashedNodes.of(dataCentre.hosts())));
         return accounts.values().stream()
                 .collect(ImmutableMap.toImmutableMap(
                         ClientAccount::name,
--- a/toucanlane-domain/src/main/java/org/toucanlane/domain/outcome/ErrorKind.java
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/outcome/ErrorKind.java
@@ -13,6 +13,8 @@
     INVALID_REQUEST(400, Ran.NOT_RUN, Retry.NEVER),
     /** The key is missing, unknown or withdrawn. */
     UNAUTHENTICATED(401, Ran.NOT_RUN, Retry.NEVER),
+    /** The key was presented with a wrong secret too often from one source; it was not looked at. */
+    TOO_MANY_GUESSES(429, Ran.NOT_RUN, Retry.LATER),
     /** The account may not use the route. */
     FORBIDDEN(403, Ran.NOT_RUN, Retry.NEVER),
     /** No route serves the path or the model. */
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/CallerConnection.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/CallerConnection.java
@@ -12,6 +12,11 @@
         this.request = request;
     }
 
+    /** Returns the address at the other end. */
+    String source() {
+        return request.getRemoteAddr();
+    }
+
     /**
      * Breaks the connection, so that an answer that is under way can't be taken for whole. Without this the server
      * would end the body as if nothing had happened.
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/CallerService.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/CallerService.java
@@ -76,7 +76,7 @@
     Response model(String path, HttpHeaders headers, CallerConnection connection, InputStream body) {
         return serve(headers, connection, context -> {
             byte[] bytes = readBody(body);
-            Caller caller = identify(context);
+            Caller caller = identify(context, connection);
             ModelRequest parsed = ModelRequest.parse(bytes);
             Route route = configuration
                     .current()
@@ -93,7 +93,7 @@
     Response plain(Target target, HttpHeaders headers, CallerConnection connection, InputStream body) {
         return serve(headers, connection, context -> {
             byte[] bytes = readBody(body);
-            Caller caller = identify(context);
+            Caller caller = identify(context, connection);
             Route route = configuration
                     .current()
                     .configuration()
@@ -166,11 +166,11 @@
         }
     }
 
-    private Caller identify(CallerContext context) throws RequestFailedException {
+    private Caller identify(CallerContext context, CallerConnection connection) throws RequestFailedException {
         if (!KeyRing.isPresented(context.authorization())) {
             return new Caller("", null);
         }
-        ApiKey key = keys.authenticate(context.authorization());
+        ApiKey key = keys.authenticate(context.authorization(), connection.source());
         return new Caller(key.id(), keys.accountOf(key));
     }
 
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/HostDirectory.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/HostDirectory.java
@@ -64,7 +64,7 @@
     }
 
     private boolean takesWork(ListedHost host) {
-        return host.name().equals(self) ? !phase.isLeaving() && !host.leaving() : peers.takesWork(host.name());
+        return host.name().equals(self) ? !phase.isLeaving() && !host.leaving() : peers.mayTakeCallers(host.name());
     }
 
     /**
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/KeyRing.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/KeyRing.java
@@ -21,12 +21,14 @@
 
     private final ConfigurationKeeper configuration;
     private final KeyHasher hasher;
+    private final GuessGuard guesses;
 
     /** Creates a ring over the configuration in force. */
     @Inject
-    public KeyRing(ConfigurationKeeper configuration, KeyHasher hasher) {
+    public KeyRing(ConfigurationKeeper configuration, KeyHasher hasher, GuessGuard guesses) {
         this.configuration = configuration;
         this.hasher = hasher;
+        this.guesses = guesses;
     }
 
     /** Returns whether an {@code Authorization} header presents anything. */
@@ -37,17 +39,28 @@
     /**
      * Returns the key that an {@code Authorization} header presents.
      *
-     * @throws RequestFailedException if there is none, or it isn't in force
+     * @param source address that the request came from
+     * @throws RequestFailedException if there is none, it isn't in force, or it was tried too often from there
      */
-    public ApiKey authenticate(String authorization) throws RequestFailedException {
+    public ApiKey authenticate(String authorization, String source) throws RequestFailedException {
         String key = isPresented(authorization) && authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length())
                 ? authorization.substring(SCHEME.length()).trim()
                 : "";
         ConfigurationSnapshot current = configuration.current();
-        Optional<ApiKey> known = KeyHasher.idOf(key).flatMap(current.configuration()::key);
-        return known.filter(candidate -> hasher.matches(key, candidate))
-                .orElseThrow(() -> new RequestFailedException(
-                        ErrorKind.UNAUTHENTICATED, "the key is missing, unknown or withdrawn"));
+        ApiKey known = KeyHasher.idOf(key).flatMap(current.configuration()::key).orElseThrow(KeyRing::unauthenticated);
+        if (!guesses.mayTry(source, known.id())) {
+            throw new RequestFailedException(
+                    ErrorKind.TOO_MANY_GUESSES, "too many wrong tries of this key", GuessGuard.pause(), null);
+        }
+        if (!hasher.matches(key, known)) {
+            guesses.wrong(source, known.id());
+            throw unauthenticated();
+        }
+        return known;
+    }
+
+    private static RequestFailedException unauthenticated() {
+        return new RequestFailedException(ErrorKind.UNAUTHENTICATED, "the key is missing, unknown or withdrawn");
     }
 
     /**
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/ModelResource.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/caller/ModelResource.java
@@ -53,9 +53,11 @@
     /** Lists the models that the key's account may use. */
     @GET
     @Path("/models")
-    public Response models(@HeaderParam(HttpHeaders.AUTHORIZATION) String authorization) {
+    public Response models(
+            @HeaderParam(HttpHeaders.AUTHORIZATION) String authorization, @Context HttpServletRequest request) {
         try {
-            String account = keys.authenticate(authorization).account();
+            String account =
+                    keys.authenticate(authorization, request.getRemoteAddr()).account();
             List<String> models = configuration.current().configuration().modelsFor(account);
             return Response.ok(toList(models), MediaType.APPLICATION_JSON_TYPE).build();
         } catch (RequestFailedException e) {
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/configuration/ConfigurationKeeper.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/configuration/ConfigurationKeeper.java
@@ -89,11 +89,8 @@
         if (version <= version()) {
             return false;
         }
-        Map<String, String> known =
-                snapshot().map(ConfigurationSnapshot::chunks).orElse(Map.of());
         try {
-            ConfigurationSnapshot next = ConfigurationSnapshot.load(
-                    version, manifest, hash -> known.containsKey(hash) ? known.get(hash) : fetch.apply(hash));
+            ConfigurationSnapshot next = ConfigurationSnapshot.load(version, manifest, snapshot(), fetch);
             inForce.advance(new Versioned<>(version, next));
             listeners.forEach(listener -> listener.accept(next));
             complained.set(false);
@@ -121,7 +118,7 @@
         ConfigurationRequest request = ConfigurationRequest.newBuilder()
                 .setKnownVersion(version())
                 .addAllKnownChunks(
-                        snapshot().map(known -> known.chunks().keySet()).orElse(Set.of()))
+                        snapshot().map(known -> known.documents().keySet()).orElse(Set.of()))
                 .build();
         link.get().configuration(request).whenCompleteAsync((reply, failure) -> {
             try {
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/EndpointPools.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/EndpointPools.java
@@ -1,5 +1,6 @@
 package org.toucanlane.gateway.dispatch;
 
+import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
@@ -24,9 +25,13 @@
     private static final int MAX_WAITING_PER_ACCOUNT = 500;
     private static final double LIMIT_OVER_CAPACITY = 1.25;
 
+    /** A host keeps at least this fraction of the capacity, however busy others seem. */
+    private static final int LEAST_SHARE = 8;
+
     private final String dataCentre;
     private final Map<String, FairQueue> queues = new ConcurrentHashMap<>();
     private volatile ImmutableMap<String, EndpointState> states = ImmutableMap.of();
+    private volatile ImmutableListMultimap<Pool, EndpointState> pools = ImmutableListMultimap.of();
 
     /** Creates pools without endpoints. */
     @Inject
@@ -43,6 +48,11 @@
             next.put(endpoint.name(), same ? known : new EndpointState(endpoint));
         }
         states = next.buildOrThrow();
+        pools = states.values().stream()
+                .collect(ImmutableListMultimap.toImmutableListMultimap(
+                        state -> new Pool(
+                                state.endpoint().service(), state.endpoint().dataCentre()),
+                        state -> state));
     }
 
     /** Returns the state of {@code endpoint}, or null if there is none of that name. */
@@ -59,9 +69,7 @@
 
     /** Returns what is known of the endpoints of {@code service} in {@code centre}. */
     public List<EndpointView> views(String service, String centre) {
-        return states.values().stream()
-                .filter(state -> state.endpoint().service().equals(service))
-                .filter(state -> state.endpoint().dataCentre().equals(centre))
+        return pools.get(new Pool(service, centre)).stream()
                 .map(EndpointState::view)
                 .toList();
     }
@@ -87,9 +95,6 @@
         return (int) Math.max(least, capacity - others);
     }
 
-    /** A host keeps at least this fraction of the capacity, however busy others seem. */
-    private static final int LEAST_SHARE = 8;
-
     /** Refuses all that wait. */
     public void closeQueues() {
         queues.values().forEach(FairQueue::close);
@@ -99,4 +104,7 @@
     public int running() {
         return states.values().stream().mapToInt(EndpointState::running).sum();
     }
+
+    /** The endpoints of one service in one data centre. */
+    private record Pool(String service, String dataCentre) {}
 }
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/EndpointState.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/EndpointState.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.toucanlane.coordination.hash.RendezvousHash;
 import org.toucanlane.domain.fleet.Endpoint;
 import org.toucanlane.policy.health.EndpointHealth;
 import org.toucanlane.policy.routing.EndpointView;
@@ -14,12 +15,14 @@
     private static final Duration LONGEST_EJECTION = Duration.ofSeconds(30);
 
     private final Endpoint endpoint;
+    private final long nameHash;
     private final AtomicInteger running = new AtomicInteger();
     private final EndpointHealth health = new EndpointHealth(FAILURES_TO_EJECT, FIRST_EJECTION, LONGEST_EJECTION);
     private volatile Report report = new Report(0, true, 0);
 
     EndpointState(Endpoint endpoint) {
         this.endpoint = endpoint;
+        this.nameHash = RendezvousHash.hash(endpoint.name());
     }
 
     /** Returns the endpoint. */
@@ -59,7 +62,7 @@
 
     EndpointView view() {
         return new EndpointView(
-                endpoint.name(), endpoint.capacity(), running.get(), report.othersRunning(), isAvailable());
+                endpoint.name(), nameHash, endpoint.capacity(), running.get(), report.othersRunning(), isAvailable());
     }
 
     private record Report(int othersRunning, boolean available, long atNanos) {}
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/lifecycle/ConfigurationApplier.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/lifecycle/ConfigurationApplier.java
@@ -4,6 +4,7 @@
 import jakarta.inject.Singleton;
 import org.toucanlane.coordination.share.ShareLedger;
 import org.toucanlane.domain.configuration.ConfigurationSnapshot;
+import org.toucanlane.gateway.GatewaySettings;
 import org.toucanlane.gateway.caller.KeyRing;
 import org.toucanlane.gateway.configuration.ConfigurationKeeper;
 import org.toucanlane.gateway.dispatch.EndpointPools;
@@ -13,6 +14,7 @@
 @Singleton
 public final class ConfigurationApplier {
 
+    private final String host;
     private final ConfigurationKeeper configuration;
     private final EndpointPools pools;
     private final ShareLedger ledger;
@@ -23,12 +25,14 @@
     /** Creates an applier. */
     @Inject
     public ConfigurationApplier(
+            GatewaySettings settings,
             ConfigurationKeeper configuration,
             EndpointPools pools,
             ShareLedger ledger,
             PeerHub peers,
             RunningRequests running,
             KeyRing keys) {
+        this.host = settings.host();
         this.configuration = configuration;
         this.pools = pools;
         this.ledger = ledger;
@@ -45,9 +49,9 @@
 
     /** Lets shares that came from other hosts be used as far as those have confirmed that they gave them up. */
     void confirmShares() {
-        configuration
-                .snapshot()
-                .ifPresent(snapshot ->
-                        ledger.apply(snapshot.shares(), peers.membership().confirmedVersions()));
+        configuration.snapshot().ifPresent(snapshot -> {
+            snapshot.shares().awaitedBy(host).forEach(peers::want);
+            ledger.apply(snapshot.shares(), peers.membership().confirmedVersions());
+        });
     }
 }
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/lifecycle/GatewayRuntime.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/lifecycle/GatewayRuntime.java
@@ -87,7 +87,6 @@
                 self,
                 messages,
                 tls.isPresent() ? Optional.of(tls.get().load()) : Optional.empty(),
-                settings.heartbeatInterval(),
                 calls);
         closer.register(node::close);
         peers.start(node);
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/LoanLinks.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/LoanLinks.java
@@ -67,8 +67,13 @@
 
     @Override
     public boolean isReachable(String host) {
-        return borrowing
-                && peers.membership().state(host).takesWork()
-                && peers.link(host).isPresent();
+        if (!borrowing) {
+            return false;
+        }
+        if (peers.link(host).isEmpty()) {
+            peers.want(host);
+            return false;
+        }
+        return peers.membership().state(host).takesWork();
     }
 }
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/PeerHub.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/PeerHub.java
@@ -4,12 +4,14 @@
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.toucanlane.coordination.clock.MonotonicClock;
 import org.toucanlane.coordination.membership.Member;
@@ -31,11 +33,14 @@
 @Singleton
 public final class PeerHub {
 
+    private static final long WANTED_NANOS = TimeUnit.MINUTES.toNanos(1);
     private static final double DEFAULT_ROUND_TRIP_MILLIS = 110;
 
     private final PeerIdentity self;
     private final Map<String, String> seeds;
     private final MembershipView membership;
+    private final Duration heartbeatInterval;
+    private final Map<String, Long> wanted = new ConcurrentHashMap<>();
     private final Map<String, Heartbeat> heartbeats = new ConcurrentHashMap<>();
     private volatile Map<String, ListedHost> listed = Map.of();
     private volatile PeerNode node;
@@ -45,6 +50,7 @@
     public PeerHub(PeerIdentity self, GatewaySettings settings) {
         this.self = self;
         this.seeds = Map.copyOf(settings.seeds());
+        this.heartbeatInterval = settings.heartbeatInterval();
         this.membership = new MembershipView(MonotonicClock.system(), settings.silentAfter());
     }
 
@@ -53,27 +59,50 @@
         node = started;
         seeds.forEach((host, address) -> {
             if (!host.equals(self.host())) {
-                started.connect(host, toAddress(address));
+                started.connect(host, toAddress(address), heartbeatInterval);
             }
         });
     }
 
-    /** Takes in the platform's list: links to new hosts, no more links to hosts that have gone from it and are silent. */
+    /**
+     * Takes in the platform's list: links to the hosts that {@link LinkPlan} names and to those wanted lately, no more
+     * links to others that are silent or not needed.
+     */
     public void listed(List<ListedHost> hosts) {
         listed = hosts.stream().collect(Collectors.toUnmodifiableMap(ListedHost::name, host -> host));
         PeerNode links = node;
         if (links == null) {
             return;
         }
-        hosts.stream()
-                .filter(host -> !host.name().equals(self.host()))
-                .forEach(host -> links.connect(host.name(), toAddress(host.peerAddress())));
+        long now = System.nanoTime();
+        wanted.values().removeIf(until -> until - now < 0);
+        Map<String, Duration> plan = plan(hosts);
+        plan.forEach((host, interval) ->
+                links.connect(host, toAddress(listed.get(host).peerAddress()), interval));
         links.peers().stream()
-                .filter(peer -> !listed.containsKey(peer))
-                .filter(peer -> !membership.state(peer).takesWork())
+                .filter(peer -> !plan.containsKey(peer))
+                .filter(peer ->
+                        listed.containsKey(peer) || !membership.state(peer).takesWork())
                 .forEach(links::disconnect);
     }
 
+    private Map<String, Duration> plan(List<ListedHost> hosts) {
+        Map<String, List<String>> byDataCentre = hosts.stream()
+                .collect(Collectors.groupingBy(
+                        ListedHost::dataCentre, Collectors.mapping(ListedHost::name, Collectors.toList())));
+        return LinkPlan.of(self.host(), self.dataCentre(), byDataCentre, wanted.keySet(), heartbeatInterval);
+    }
+
+    /** Asks for a link to {@code host} that this one would not keep otherwise; it stands some time later. */
+    public void want(String host) {
+        boolean isNew = wanted.put(host, System.nanoTime() + WANTED_NANOS) == null;
+        ListedHost entry = listed.get(host);
+        PeerNode links = node;
+        if (isNew && entry != null && links != null && links.link(host).isEmpty()) {
+            links.connect(host, toAddress(entry.peerAddress()), heartbeatInterval);
+        }
+    }
+
     private static InetSocketAddress toAddress(String text) {
         HostAndPort address = HostAndPort.fromString(text);
         return new InetSocketAddress(address.getHost(), address.getPort());
@@ -87,6 +116,7 @@
                 from.incarnation(),
                 heartbeat.getConfigurationVersion(),
                 heartbeat.getLeaving(),
+                TimeUnit.MILLISECONDS.toNanos(heartbeat.getIntervalMillis()),
                 System.nanoTime()));
         if (current) {
             heartbeats.put(from.host(), heartbeat);
@@ -103,11 +133,21 @@
         return listed;
     }
 
-    /** Returns whether {@code host} takes work. */
+    /** Returns whether {@code host} is known to take work. */
     public boolean takesWork(String host) {
+        return membership.state(host) == MemberState.ALIVE && !isListedAsLeaving(host);
+    }
+
+    private boolean isListedAsLeaving(String host) {
         ListedHost entry = listed.get(host);
-        boolean listedAsLeaving = entry != null && entry.leaving();
-        return membership.state(host) == MemberState.ALIVE && !listedAsLeaving;
+        return entry != null && entry.leaving();
+    }
+
+    /** Returns whether callers may be sent to {@code host}: it takes work, or only the platform's list speaks of it. */
+    public boolean mayTakeCallers(String host) {
+        MemberState state = membership.state(host);
+        boolean unheard = state == MemberState.UNKNOWN && listed.containsKey(host);
+        return (state.takesWork() || unheard) && !isListedAsLeaving(host);
     }
 
     /** Returns the link to {@code host} if both sides have said hello on it. */
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/PeerMessages.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/PeerMessages.java
@@ -108,9 +108,10 @@
         ConfigurationReply.Builder reply = ConfigurationReply.newBuilder()
                 .setVersion(snapshot.get().version())
                 .setManifest(ByteString.copyFrom(snapshot.get().manifestBytes()));
-        snapshot.get().chunks().forEach((hash, text) -> {
+        snapshot.get().documents().forEach((hash, document) -> {
             if (!request.getKnownChunksList().contains(hash)) {
-                reply.addChunks(Chunk.newBuilder().setHash(hash).setContent(ByteString.copyFromUtf8(text)));
+                ByteString text = ByteString.copyFromUtf8(document.text());
+                reply.addChunks(Chunk.newBuilder().setHash(hash).setContent(text));
             }
         });
         return reply.build();
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/routing/EndpointChoice.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/routing/EndpointChoice.java
@@ -1,16 +1,14 @@
 package org.toucanlane.policy.routing;
 
-import java.util.List;
 import java.util.Optional;
 
 /**
- * A decision on an endpoint, with what spoke for it.
+ * A decision on an endpoint.
  *
  * @param endpoint the endpoint chosen; empty if none may be used
  * @param reason why it won
- * @param candidates each candidate's believed load, best first
  */
-public record EndpointChoice(Optional<String> endpoint, Reason reason, List<EndpointView> candidates) {
+public record EndpointChoice(Optional<String> endpoint, Reason reason) {
 
     /** Why an endpoint was chosen. */
     public enum Reason {
@@ -23,9 +21,4 @@
         /** No endpoint may be used. */
         NONE
     }
-
-    /** Creates a decision. */
-    public EndpointChoice {
-        candidates = List.copyOf(candidates);
-    }
 }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/routing/EndpointChooser.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/routing/EndpointChooser.java
@@ -1,7 +1,7 @@
 package org.toucanlane.policy.routing;
 
 import com.google.common.base.Preconditions;
-import java.util.Comparator;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -12,7 +12,8 @@
  * Chooses an endpoint: rendezvous hashing on the start of the prompt with bounded loads (Mirrokni, Thorup and
  * Zadimoghaddam, 2018), else the less loaded of two drawn at random (Mitzenmacher, 2001).
  *
- * <p>The same input and the same random sequence give the same decision. Immutable and thread-safe.
+ * <p>The same input and the same random sequence give the same decision. Takes time linear in the candidates, which are
+ * those of one service in one data centre. Immutable and thread-safe.
  */
 public final class EndpointChooser {
 
@@ -41,46 +42,66 @@
      */
     public EndpointChoice choose(
             List<EndpointView> candidates, String affinity, Set<String> tried, RandomGenerator random) {
-        List<EndpointView> usable = candidates.stream()
-                .filter(EndpointView::available)
-                .filter(view -> !tried.contains(view.name()))
-                .sorted(Comparator.comparingDouble(EndpointView::load).thenComparing(EndpointView::name))
-                .toList();
+        List<EndpointView> usable = usable(candidates, tried);
         if (usable.isEmpty()) {
-            return new EndpointChoice(Optional.empty(), EndpointChoice.Reason.NONE, usable);
+            return new EndpointChoice(Optional.empty(), EndpointChoice.Reason.NONE);
         }
         if (usable.size() == 1) {
-            return choice(usable.get(0), EndpointChoice.Reason.ONLY_ONE, usable);
+            return choice(usable.get(0), EndpointChoice.Reason.ONLY_ONE);
         }
-        return affine(usable, affinity)
-                .map(view -> choice(view, EndpointChoice.Reason.AFFINITY, usable))
-                .orElseGet(() -> choice(leastOfTwo(usable, random), EndpointChoice.Reason.LEAST_OF_TWO, usable));
+        EndpointView affine = affinity.isEmpty() ? null : affine(usable, affinity);
+        return affine != null
+                ? choice(affine, EndpointChoice.Reason.AFFINITY)
+                : choice(leastOfTwo(usable, random), EndpointChoice.Reason.LEAST_OF_TWO);
     }
 
-    private static EndpointChoice choice(EndpointView view, EndpointChoice.Reason reason, List<EndpointView> usable) {
-        return new EndpointChoice(Optional.of(view.name()), reason, usable);
+    private static List<EndpointView> usable(List<EndpointView> candidates, Set<String> tried) {
+        List<EndpointView> usable = new ArrayList<>(candidates.size());
+        for (EndpointView view : candidates) {
+            if (view.available() && (tried.isEmpty() || !tried.contains(view.name()))) {
+                usable.add(view);
+            }
+        }
+        return usable;
+    }
+
+    private static EndpointChoice choice(EndpointView view, EndpointChoice.Reason reason) {
+        return new EndpointChoice(Optional.of(view.name()), reason);
+    }
+
+    /** Returns the endpoint within the bound that weighs most for {@code affinity}, or null if none has room. */
+    private EndpointView affine(List<EndpointView> usable, String affinity) {
+        double bound = bound(usable);
+        long keyHash = RendezvousHash.hash(affinity);
+        EndpointView best = null;
+        long bestWeight = 0;
+        for (EndpointView view : usable) {
+            long weight = RendezvousHash.weight(keyHash, view.nameHash());
+            boolean hasRoom = view.load() < Math.max(bound, 1.0 / view.capacity()) && view.load() < 1;
+            if (hasRoom && (best == null || weight > bestWeight)) {
+                best = view;
+                bestWeight = weight;
+            }
+        }
+        return best;
     }
 
-    private Optional<EndpointView> affine(List<EndpointView> usable, String affinity) {
-        if (affinity.isEmpty()) {
-            return Optional.empty();
+    /** Returns the load up to which an endpoint may be chosen for its cache. */
+    private double bound(List<EndpointView> usable) {
+        double running = 1;
+        double capacity = 0;
+        for (EndpointView view : usable) {
+            running += view.ownRunning() + view.othersRunning();
+            capacity += view.capacity();
         }
-        double running = usable.stream()
-                .mapToDouble(view -> view.ownRunning() + view.othersRunning())
-                .sum();
-        double capacity = usable.stream().mapToDouble(EndpointView::capacity).sum();
-        double bound = boundOverMean * (running + 1) / capacity;
-        Comparator<EndpointView> byWeight =
-                Comparator.comparingLong(view -> RendezvousHash.weight(affinity, view.name()));
-        return usable.stream()
-                .filter(view -> view.load() < Math.max(bound, 1.0 / view.capacity()))
-                .max(byWeight)
-                .filter(view -> view.load() < 1);
+        return boundOverMean * running / capacity;
     }
 
     private static EndpointView leastOfTwo(List<EndpointView> usable, RandomGenerator random) {
         int first = random.nextInt(usable.size());
         int second = (first + 1 + random.nextInt(usable.size() - 1)) % usable.size();
-        return usable.get(Math.min(first, second));
+        EndpointView one = usable.get(first);
+        EndpointView two = usable.get(second);
+        return one.load() <= two.load() ? one : two;
     }
 }
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/RoutingPropertyTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/RoutingPropertyTest.java
@@ -29,7 +29,7 @@
     void neverAnEndpointThatIsUnavailableOrTried(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
         Random random = new Random(seed);
         List<EndpointView> views = IntStream.range(0, random.nextInt(12))
-                .mapToObj(i -> new EndpointView(
+                .mapToObj(i -> EndpointView.of(
                         "e" + i, 1 + random.nextInt(8), random.nextInt(9), random.nextInt(9), random.nextBoolean()))
                 .toList();
         Set<String> tried = Set.of("e" + random.nextInt(12));
@@ -85,7 +85,7 @@
     @Test
     void theSamePromptGoesToTheSameEndpointUntilItIsFull() {
         List<EndpointView> idle = IntStream.range(0, 8)
-                .mapToObj(i -> new EndpointView("e" + i, 8, 0, 0, true))
+                .mapToObj(i -> EndpointView.of("e" + i, 8, 0, 0, true))
                 .toList();
         Set<String> chosen = Set.copyOf(IntStream.range(0, 50)
                 .mapToObj(seed -> ENDPOINTS
@@ -102,12 +102,13 @@
     void decidersWithTheSameStaleViewDoNotAllChooseTheSameEndpoint() {
         List<EndpointView> stale = new ArrayList<>();
         for (int i = 0; i < 16; i++) {
-            stale.add(new EndpointView("e" + i, 8, 0, i == 3 ? 0 : 4, true));
+            stale.add(EndpointView.of("e" + i, 8, 0, i == 3 ? 0 : 4, true));
         }
         Map<String, Integer> counts = new HashMap<>();
+        Random independent = new Random(20261204);
         for (int decider = 0; decider < 3200; decider++) {
             String name = ENDPOINTS
-                    .choose(stale, "", Set.of(), new Random(decider))
+                    .choose(stale, "", Set.of(), independent)
                     .endpoint()
                     .orElseThrow();
             counts.merge(name, 1, Integer::sum);
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/ConfigMeasurement.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/ConfigMeasurement.java
@@ -25,7 +25,8 @@
     private static final int REGIONS = 4;
     private static final int CHANGES = 5;
     private static final int SLOW_CHANGES = 2;
-    private static final int QUIET_SECONDS = 10;
+    private static final int SETTLE_SECONDS = 20;
+    private static final int QUIET_SECONDS = 15;
     private static final int SLOW_STORE_MILLIS = 1500;
 
     private final List<Integer> sizes;
@@ -66,7 +67,7 @@
     }
 
     private static void quiet(Deployment deployment, ObjectNode row) throws IOException, InterruptedException {
-        Thread.sleep(5000);
+        Thread.sleep(SETTLE_SECONDS * 1000L);
         long calls = storeCalls(deployment);
         List<ProcessUse> before = uses(deployment);
         long bytes = proxyBytes(deployment);
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/LimitsMeasurement.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/LimitsMeasurement.java
@@ -37,6 +37,8 @@
     public void run(Path work, long seed, ObjectNode result) throws IOException, InterruptedException {
         measure(work.resolve("loans"), true, seed, result.putObject("loans"));
         measure(work.resolve("static"), false, seed, result.putObject("static_division"));
+        new FairnessPhase()
+                .run(Files.createDirectories(work.resolve("fairness")), JAVA_OPTIONS, result.putObject("hot_account"));
     }
 
     private static void measure(Path work, boolean borrowing, long seed, ObjectNode row)
--- /dev/null
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/SizeMeasurement.java
@@ -0,0 +1,157 @@
+package org.toucanlane.standins.measure;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.toucanlane.coordination.share.LoanGrant;
+import org.toucanlane.coordination.share.LoanTerms;
+import org.toucanlane.coordination.share.LoanTransport;
+import org.toucanlane.coordination.share.ShareLedger;
+import org.toucanlane.coordination.share.ShareTable;
+import org.toucanlane.coordination.share.ShortOfTokensException;
+import org.toucanlane.domain.configuration.ConfigurationSnapshot;
+import org.toucanlane.domain.configuration.InvalidConfigurationException;
+import org.toucanlane.domain.configuration.Manifest;
+import org.toucanlane.domain.configuration.ServiceDocument;
+import org.toucanlane.policy.routing.EndpointChooser;
+import org.toucanlane.policy.routing.EndpointView;
+
+/** The data structures alone at the target's size: bringing a version into force, admitting, deciding. */
+final class SizeMeasurement implements Measurement {
+
+    private static final int HOSTS = 350;
+    private static final int DATA_CENTRES = 23;
+    private static final int ENDPOINTS = 800;
+    private static final int ROUNDS = 10;
+    private static final int CALLS = 200_000;
+
+    @Override
+    public void run(Path work, long seed, ObjectNode result) throws IOException, InterruptedException {
+        GeneratedFleet files = new GeneratedFleet(Files.createDirectories(work.resolve("target")));
+        String[] places = IntStream.range(0, ENDPOINTS)
+                .mapToObj(i -> "r" + i % DATA_CENTRES + "-a")
+                .toArray(String[]::new);
+        files.regions(DATA_CENTRES, HOSTS).engines(8, places).manyAccounts(2500, 4);
+        try {
+            ConfigurationSnapshot snapshot = load(files.root(), result);
+            admissions(snapshot.shares(), result.putObject("admit"));
+        } catch (InvalidConfigurationException e) {
+            throw new IllegalStateException(e);
+        }
+        for (int candidates : new int[] {16, 64, 800}) {
+            decisions(candidates, seed, result.putObject("choose_among_" + candidates));
+        }
+    }
+
+    private static ConfigurationSnapshot load(Path root, ObjectNode result)
+            throws IOException, InvalidConfigurationException {
+        Map<String, String> chunks = new TreeMap<>();
+        Map<String, String> documents = new TreeMap<>();
+        long bytes = 0;
+        try (Stream<Path> folders = Files.list(root)) {
+            for (Path folder : folders.toList()) {
+                String text = Files.readString(folder.resolve("toucanlane.json"), StandardCharsets.UTF_8);
+                ServiceDocument document = ServiceDocument.parse(folder.toString(), text);
+                documents.put(document.name(), document.contentHash());
+                chunks.put(document.contentHash(), text);
+                bytes += text.length();
+            }
+        }
+        byte[] manifest = new Manifest(documents, Map.of()).encode();
+        ConfigurationSnapshot snapshot = ConfigurationSnapshot.load(1, manifest, Optional.empty(), chunks::get);
+        String changed = documents.get("accounts-0");
+        long[] nanos = new long[ROUNDS];
+        for (int i = 0; i < ROUNDS; i++) {
+            String text = chunks.get(changed) + ' ';
+            changed = ServiceDocument.parse("changed", text).contentHash();
+            chunks.put(changed, text);
+            documents.put("accounts-0", changed);
+            byte[] next = new Manifest(documents, Map.of()).encode();
+            long started = System.nanoTime();
+            snapshot = ConfigurationSnapshot.load(i + 2L, next, Optional.of(snapshot), chunks::get);
+            nanos[i] = System.nanoTime() - started;
+        }
+        Arrays.sort(nanos);
+        result.put("documents", documents.size()).put("document_bytes", bytes).put("manifest_bytes", manifest.length);
+        result.put("bring_one_changed_document_into_force_median_ms", nanos[ROUNDS / 2] / 1e6);
+        return snapshot;
+    }
+
+    private static void admissions(ShareTable table, ObjectNode row) throws InterruptedException {
+        String account = table.accounts().iterator().next();
+        String holder = table.holders(account).get(0).host();
+        ShareLedger ledger = ShareLedger.builder()
+                .self(holder, table.holders(account).get(0).dataCentre(), 1)
+                .transport(new NoLoans())
+                .terms(new LoanTerms(Duration.ofNanos(1), Duration.ZERO, Duration.ZERO, 0))
+                .build();
+        ledger.apply(table, Map.of());
+        TimeUnit.SECONDS.sleep(3);
+        long[] nanos = new long[CALLS];
+        int admitted = 0;
+        for (int i = 0; i < CALLS; i++) {
+            long started = System.nanoTime();
+            try {
+                ledger.admit(account, 1).settle(0);
+                admitted++;
+            } catch (ShortOfTokensException ignored) {
+                // Refusals are decisions too.
+            }
+            nanos[i] = System.nanoTime() - started;
+        }
+        Arrays.sort(nanos);
+        row.put("p50_us", nanos[CALLS / 2] / 1e3).put("p99_us", nanos[CALLS * 99 / 100] / 1e3);
+        row.put("share_admitted", admitted / (double) CALLS);
+    }
+
+    private static void decisions(int candidates, long seed, ObjectNode row) {
+        Random random = new Random(seed);
+        List<EndpointView> views = new ArrayList<>();
+        for (int i = 0; i < candidates; i++) {
+            views.add(EndpointView.of("endpoint-" + i, 8, random.nextInt(4), random.nextInt(4), true));
+        }
+        EndpointChooser chooser = EndpointChooser.withBound(1.25);
+        int calls = CALLS / 10;
+        long[] nanos = new long[calls];
+        for (int i = 0; i < calls; i++) {
+            long started = System.nanoTime();
+            chooser.choose(views, "prompt-" + i % 100, Set.of(), random);
+            nanos[i] = System.nanoTime() - started;
+        }
+        Arrays.sort(nanos);
+        row.put("p50_us", nanos[calls / 2] / 1e3).put("p99_us", nanos[calls * 99 / 100] / 1e3);
+    }
+
+    /** Nobody to borrow from. */
+    private static final class NoLoans implements LoanTransport {
+
+        @Override
+        public Optional<LoanGrant> borrow(String lender, String id, String account, long tokens, Duration wait) {
+            return Optional.empty();
+        }
+
+        @Override
+        public void giveBack(String lender, String loanId, String account, long unusedTokens) {
+            // Nothing was borrowed.
+        }
+
+        @Override
+        public boolean isReachable(String host) {
+            return false;
+        }
+    }
+}
--- a/toucanlane-wire/src/main/java/org/toucanlane/wire/PeerLink.java
+++ b/toucanlane-wire/src/main/java/org/toucanlane/wire/PeerLink.java
@@ -116,6 +116,10 @@
         return address;
     }
 
+    Duration heartbeatInterval() {
+        return heartbeatInterval;
+    }
+
     /** Returns whether both sides have said hello on the connection. */
     public boolean isConnected() {
         Channel current = channel;
@@ -273,8 +277,9 @@
                 return;
             }
             beatAt = System.nanoTime();
-            context.writeAndFlush(
-                    Frame.newBuilder().setHeartbeat(handler.heartbeat()).build());
+            context.writeAndFlush(Frame.newBuilder()
+                    .setHeartbeat(handler.heartbeat().toBuilder().setIntervalMillis((int) heartbeatInterval.toMillis()))
+                    .build());
             context.executor().schedule(() -> beat(context), heartbeatInterval.toMillis(), TimeUnit.MILLISECONDS);
         }
 
--- a/toucanlane-wire/src/main/java/org/toucanlane/wire/PeerNode.java
+++ b/toucanlane-wire/src/main/java/org/toucanlane/wire/PeerNode.java
@@ -21,7 +21,6 @@
     private final PeerIdentity self;
     private final PeerHandler handler;
     private final Optional<PeerTls> tls;
-    private final Duration heartbeatInterval;
     private final MultiThreadIoEventLoopGroup loops =
             new MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory());
     private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
@@ -39,13 +38,11 @@
             PeerIdentity self,
             PeerHandler handler,
             Optional<PeerTls> tls,
-            Duration heartbeatInterval,
             Executor callExecutor)
             throws InterruptedException {
         this.self = self;
         this.handler = handler;
         this.tls = tls;
-        this.heartbeatInterval = heartbeatInterval;
         this.server = new PeerServer(address, self, handler, loops, tls, callExecutor);
     }
 
@@ -54,10 +51,12 @@
         return server.address();
     }
 
-    /** Keeps a link to {@code peer} at {@code address}, replacing one to another address. */
-    public void connect(String peer, InetSocketAddress address) {
+    /** Keeps a link to {@code peer}, replacing one to another address or with another time between heartbeats. */
+    public void connect(String peer, InetSocketAddress address, Duration heartbeatInterval) {
         links.compute(peer, (name, link) -> {
-            if (link != null && link.address().equals(address)) {
+            if (link != null
+                    && link.address().equals(address)
+                    && link.heartbeatInterval().equals(heartbeatInterval)) {
                 return link;
             }
             if (link != null) {
--- a/toucanlane-wire/src/main/java/org/toucanlane/wire/PeerServer.java
+++ b/toucanlane-wire/src/main/java/org/toucanlane/wire/PeerServer.java
@@ -18,6 +18,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucanlane.wire.proto.Frame;
+import org.toucanlane.wire.proto.Heartbeat;
 
 /**
  * Accepts peers' connections and hands their messages to a handler. Thread-safe.
@@ -87,7 +88,9 @@
             switch (frame.getBodyCase()) {
                 case HEARTBEAT -> {
                     handler.onHeartbeat(remote, frame.getHeartbeat());
-                    reply(context, 0, Frame.newBuilder().setHeartbeat(handler.heartbeat()));
+                    Heartbeat.Builder own = handler.heartbeat().toBuilder();
+                    own.setIntervalMillis(frame.getHeartbeat().getIntervalMillis());
+                    reply(context, 0, Frame.newBuilder().setHeartbeat(own));
                 }
                 case CALL_OPEN -> open(context, frame);
                 case CALL_CREDIT -> credit(frame);
--- a/toucanlane-wire/src/test/java/org/toucanlane/wire/PeerWireTest.java
+++ b/toucanlane-wire/src/test/java/org/toucanlane/wire/PeerWireTest.java
@@ -38,6 +38,7 @@
 class PeerWireTest {
 
     private static final long WAIT_MILLIS = 10_000;
+    private static final Duration INTERVAL = Duration.ofMillis(50);
 
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final Echo echo = new Echo();
@@ -48,18 +49,13 @@
     void start() throws InterruptedException {
         server = node("server");
         client = node("client");
-        client.connect("server", server.address());
+        client.connect("server", server.address(), INTERVAL);
         awaitLink(client, "server");
     }
 
     private PeerNode node(String host) throws InterruptedException {
         return new PeerNode(
-                new InetSocketAddress("127.0.0.1", 0),
-                new PeerIdentity(host, "d", 1),
-                echo,
-                Optional.empty(),
-                Duration.ofMillis(50),
-                threads);
+                new InetSocketAddress("127.0.0.1", 0), new PeerIdentity(host, "d", 1), echo, Optional.empty(), threads);
     }
 
     @AfterEach
@@ -147,7 +143,7 @@
 
     @Test
     void aHostUnderAnotherNameGetsNoCalls() throws Exception {
-        client.connect("somebody-else", server.address());
+        client.connect("somebody-else", server.address(), INTERVAL);
         Thread.sleep(300);
         assertThat(client.link("somebody-else").orElseThrow().isConnected()).isFalse();
         assertThatThrownBy(() -> client.link("somebody-else").orElseThrow().call(open("repeat", "x")))
