Do not count another account's flood against a deadline

The queue worked out the expected wait from everybody's requests, though turns are fair, and refused the calm account's second request as too late.

Change: the expected wait counts the account's own requests times the accounts that wait.

A new test fails before (201 of 202 wait) and passes after.

--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/FairQueue.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/FairQueue.java
@@ -98,7 +98,7 @@
 
     @GuardedBy("lock")
     private void checkRoom(Line line, Duration patience) throws QueueFullException {
-        Duration expected = expectedWaitLocked();
+        Duration expected = expectedWait(line);
         if (closed) {
             throw new QueueFullException(QueueFullException.Reason.CLOSED, expected);
         }
@@ -106,8 +106,7 @@
         if (mustWait && (waiting >= maxWaiting || line.waiters.size() >= maxWaitingPerAccount)) {
             throw new QueueFullException(QueueFullException.Reason.NO_ROOM, expected);
         }
-        boolean alone = line.waiters.isEmpty();
-        if (mustWait && !alone && expected.compareTo(patience) > 0) {
+        if (mustWait && expected.compareTo(patience) > 0) {
             throw new QueueFullException(QueueFullException.Reason.DEADLINE, expected);
         }
     }
@@ -138,8 +137,7 @@
         }
         if (!waiter.admitted) {
             throw new QueueFullException(
-                    closed ? QueueFullException.Reason.CLOSED : QueueFullException.Reason.DEADLINE,
-                    expectedWaitLocked());
+                    closed ? QueueFullException.Reason.CLOSED : QueueFullException.Reason.DEADLINE, expectedWait(line));
         }
         return new Place(System.nanoTime());
     }
@@ -215,9 +213,14 @@
         }
     }
 
+    /** Returns when another request in {@code line} would get its turn: each account with requests gets every nth place. */
     @GuardedBy("lock")
-    private Duration expectedWaitLocked() {
-        return Duration.ofNanos((long) (meanHoldNanos * (waiting + 1) / limit));
+    private Duration expectedWait(Line line) {
+        long others = lines.values().stream()
+                .filter(other -> other != line && !other.waiters.isEmpty())
+                .count();
+        long ahead = Math.min(waiting, line.waiters.size() * (others + 1) + others);
+        return Duration.ofNanos((long) (meanHoldNanos * (ahead + 1) / limit));
     }
 
     private void release(long takenAt) {
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/FairQueueTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/FairQueueTest.java
@@ -61,6 +61,39 @@
         }
     }
 
+    /** A flood of one account does not make another's request look too late to be worth waiting. */
+    @Test
+    void anotherAccountsFloodDoesNotCountAgainstADeadline() throws Exception {
+        FairQueue queue = new FairQueue(1, 1000, 1000);
+        FairQueue.Place held = queue.acquire("starter", 1, 1, LONG);
+        Thread.sleep(50);
+        held.close();
+        FairQueue.Place place = queue.acquire("starter", 1, 1, LONG);
+        List<String> order = Collections.synchronizedList(new ArrayList<>());
+        CountDownLatch done = new CountDownLatch(202);
+        for (int i = 0; i < 200; i++) {
+            enqueue(queue, "flood", order, done, i + 1);
+        }
+        Duration patience = Duration.ofSeconds(2);
+        for (int i = 0; i < 2; i++) {
+            threads.submit(() -> {
+                try (FairQueue.Place calm = queue.acquire("calm", 1, 100, patience)) {
+                    order.add("calm");
+                    return calm;
+                } finally {
+                    done.countDown();
+                }
+            });
+            while (queue.waiting() < 201 + i && done.getCount() == 202) {
+                Thread.onSpinWait();
+            }
+        }
+        assertThat(queue.waiting()).as("both calm requests wait").isEqualTo(202);
+        place.close();
+        done.await();
+        assertThat(order.subList(0, 4)).contains("calm");
+    }
+
     @Test
     void aFullQueueRefusesAtOnceAndHoldsNothing() throws Exception {
         FairQueue queue = new FairQueue(1, 0, 0);
