Pause when the store is over its rate instead of failing claims

Change: a write that was refused for the rate, or lost a race, is tried again after a pause that doubles from 10 to 400 ms, drawn from its upper half; claims gather meanwhile and share the next write. A store that can't be reached still fails at once.

Ruled out for now: fewer shards, which would write less often but larger values.

Whole shards are rewritten with each batch, and 16 of them hold about 110,000 claims.

--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/claim/ClaimLog.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/claim/ClaimLog.java
@@ -37,6 +37,7 @@
     private final String owner;
     private final Duration keep;
     private final LongSupplier wallMillis;
+    private final BackOff backOff;
     private final List<ShardQueue> shards;
     private final AtomicLong nextToken = new AtomicLong();
 
@@ -49,6 +50,7 @@
      * @param keep how long a claim is kept
      * @param executor runs the writes; a shard uses one thread at a time
      * @param wallMillis wall clock in milliseconds since the epoch
+     * @param backOff pauses after a write that did not stand; claims gather meanwhile and share the next write
      */
     public ClaimLog(
             KeyValueStore store,
@@ -56,13 +58,15 @@
             int shardCount,
             Duration keep,
             Executor executor,
-            LongSupplier wallMillis) {
+            LongSupplier wallMillis,
+            BackOff backOff) {
         Preconditions.checkArgument(shardCount > 0, "shardCount must be positive: %s", shardCount);
         Preconditions.checkArgument(!keep.isNegative() && !keep.isZero(), "keep must be positive: %s", keep);
         this.store = Preconditions.checkNotNull(store, "store");
         this.owner = Preconditions.checkNotNull(owner, "owner");
         this.keep = keep;
         this.wallMillis = Preconditions.checkNotNull(wallMillis, "wallMillis");
+        this.backOff = Preconditions.checkNotNull(backOff, "backOff");
         this.shards = IntStream.range(0, shardCount)
                 .mapToObj(index -> new ShardQueue(executor, batch -> commit("claims/" + index, batch)))
                 .toList();
@@ -135,11 +139,12 @@
             } catch (StoreConflictException e) {
                 last = StoreException.withoutEffect(e.getMessage(), e);
             } catch (StoreException e) {
-                if (!e.mayHaveTakenEffect()) {
+                if (!e.mayHaveTakenEffect() && !e.isOverRate()) {
                     throw e;
                 }
                 last = e;
             }
+            backOff.pause(round);
         }
         throw last;
     }
--- a/toucanlane-coordination/src/test/java/org/toucanlane/coordination/claim/ClaimExplorationTest.java
+++ b/toucanlane-coordination/src/test/java/org/toucanlane/coordination/claim/ClaimExplorationTest.java
@@ -55,7 +55,7 @@
         KeyValueStore store = compares ? memory : new OverwritingStore(memory);
         List<ClaimLog> idle = new ArrayList<>();
         for (String host : List.of("h1", "h2", "h3")) {
-            idle.add(new ClaimLog(store, host, 1, Duration.ofHours(1), DIRECT, () -> 0));
+            idle.add(new ClaimLog(store, host, 1, Duration.ofHours(1), DIRECT, () -> 0, round -> {}));
         }
         AtomicInteger granted = new AtomicInteger();
         memory.follow(write -> {
--- a/toucanlane-coordination/src/test/java/org/toucanlane/coordination/claim/ClaimLogTest.java
+++ b/toucanlane-coordination/src/test/java/org/toucanlane/coordination/claim/ClaimLogTest.java
@@ -28,7 +28,7 @@
     private final ClaimLog second = log("second");
 
     private ClaimLog log(String owner) {
-        return new ClaimLog(store, owner, 4, KEEP, Runnable::run, wallMillis::get);
+        return new ClaimLog(store, owner, 4, KEEP, Runnable::run, wallMillis::get, round -> {});
     }
 
     private static Claim granted(CompletableFuture<ClaimResult> result) throws Exception {
@@ -78,6 +78,17 @@
         assertThatThrownBy(() -> first.claim(KEY, REQUEST).get()).isInstanceOf(ExecutionException.class);
     }
 
+    @Test
+    void aStoreOverItsRateIsAskedAgainAfterAPause() throws Exception {
+        AtomicInteger pauses = new AtomicInteger();
+        AtomicInteger writes = new AtomicInteger();
+        store.follow(write -> write && writes.getAndIncrement() < 3 ? Fault.OVER_RATE : Fault.NONE);
+        ClaimLog log = new ClaimLog(
+                store, "first", 1, KEEP, Runnable::run, wallMillis::get, round -> pauses.incrementAndGet());
+        granted(log.claim(KEY, REQUEST));
+        assertThat(pauses).hasValue(3);
+    }
+
     @Test
     void claimsThatArriveDuringAWriteShareTheNextOne() throws Exception {
         List<Runnable> queued = new ArrayList<>();
@@ -86,7 +97,7 @@
             writes.addAndGet(write ? 1 : 0);
             return Fault.NONE;
         });
-        ClaimLog log = new ClaimLog(store, "first", 1, KEEP, queued::add, wallMillis::get);
+        ClaimLog log = new ClaimLog(store, "first", 1, KEEP, queued::add, wallMillis::get, round -> {});
         List<CompletableFuture<ClaimResult>> results = new ArrayList<>();
         for (int i = 0; i < 100; i++) {
             results.add(log.claim(ClaimLog.keyOf("account", "key" + i), REQUEST));
@@ -100,7 +111,7 @@
 
     @Test
     void aFullShardTakesNoClaimAndLosesNone() throws Exception {
-        ClaimLog log = new ClaimLog(store, "first", 1, KEEP, Runnable::run, wallMillis::get);
+        ClaimLog log = new ClaimLog(store, "first", 1, KEEP, Runnable::run, wallMillis::get, round -> {});
         byte[] answer = new byte[100_000];
         ClaimResult last = log.claim(ClaimLog.keyOf("account", "0"), REQUEST).get();
         for (int i = 1; i < 20; i++) {
--- a/toucanlane-coordination/src/test/java/org/toucanlane/coordination/store/FaultyStore.java
+++ b/toucanlane-coordination/src/test/java/org/toucanlane/coordination/store/FaultyStore.java
@@ -25,7 +25,9 @@
         /** The call takes effect, its answer is lost. */
         LOST_AFTER,
         /** The answer is lost, and the call takes effect only after the next call of anybody. */
-        LATE
+        LATE,
+        /** The call is refused because there are too many. */
+        OVER_RATE
     }
 
     /** Decides on each call. */
@@ -55,6 +57,9 @@
         if (fault == Fault.LOST_BEFORE) {
             throw StoreException.ambiguous("lost", null);
         }
+        if (fault == Fault.OVER_RATE) {
+            throw StoreException.overRate("too many");
+        }
         if (fault == Fault.LATE) {
             late = () -> swap(key, value, expected);
             throw StoreException.ambiguous("lost", null);
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/GatewayModule.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/GatewayModule.java
@@ -12,6 +12,7 @@
 import java.nio.file.Files;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import org.toucanlane.coordination.claim.BackOff;
 import org.toucanlane.coordination.claim.ClaimLog;
 import org.toucanlane.coordination.share.ShareLedger;
 import org.toucanlane.coordination.store.KeyValueStore;
@@ -25,7 +26,9 @@
 /** Wires a host together from its settings. */
 final class GatewayModule extends AbstractModule {
 
-    private static final int CLAIM_THREADS = 8;
+    private static final int CLAIM_THREADS = 16;
+    private static final long FIRST_BACK_OFF_MILLIS = 10;
+    private static final long LONGEST_BACK_OFF_MILLIS = 400;
 
     private final GatewaySettings settings;
     private final KeyHasher hasher;
@@ -102,6 +105,7 @@
                 settings.claimShards(),
                 settings.keepClaims(),
                 writers,
-                System::currentTimeMillis);
+                System::currentTimeMillis,
+                BackOff.doubling(FIRST_BACK_OFF_MILLIS, LONGEST_BACK_OFF_MILLIS));
     }
 }
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/OnceMeasurement.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/OnceMeasurement.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.toucanlane.coordination.claim.BackOff;
 import org.toucanlane.coordination.claim.ClaimLog;
 import org.toucanlane.coordination.claim.ClaimResult;
 import org.toucanlane.platform.store.HttpKeyValueStore;
@@ -73,7 +74,13 @@
             List<ClaimLog> logs = new ArrayList<>();
             for (int i = 0; i < OWNERS; i++) {
                 logs.add(new ClaimLog(
-                        store, "host-" + i, SHARDS, Duration.ofHours(1), writers, System::currentTimeMillis));
+                        store,
+                        "host-" + i,
+                        SHARDS,
+                        Duration.ofHours(1),
+                        writers,
+                        System::currentTimeMillis,
+                        BackOff.doubling(10, 400)));
             }
             long started = System.nanoTime();
             OpenLoop.run(OFFERED_PER_SECOND, OFFER_SECONDS, index -> {
