--- a/toucanlane-cli/src/main/java/org/toucanlane/cli/HostCommand.java
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/HostCommand.java
@@ -3,23 +3,42 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.URI;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
+import org.toucanlane.domain.configuration.InvalidConfigurationException;
 
-/** Takes hosts out of service. */
-@Parameters(commandDescription = "drain: let the hosts of --admin finish their requests and take no more")
+/** Takes hosts out of service, for a while or for good. */
+@Parameters(
+        commandDescription = "drain (the hosts of --admin) | retire NAME FOLDER... (a host that has stopped for good)")
 final class HostCommand implements Command {
 
-    @Parameter(description = "drain", required = true)
+    private static final int RETIRE_WORDS = 3;
+
+    @Parameter(description = "drain | retire NAME FOLDER...", required = true)
     private List<String> words = new ArrayList<>();
 
     @Override
-    public ExitCode run(GlobalOptions options, Output out) throws CommandFailedException, IOException {
+    public ExitCode run(GlobalOptions options, Output out)
+            throws CommandFailedException, IOException, InvalidConfigurationException {
+        if (words.equals(List.of("drain"))) {
+            return drain(options, out);
+        }
+        if (words.get(0).equals("retire") && words.size() >= RETIRE_WORDS) {
+            return retire(out, words.get(1), words.subList(2, words.size()));
+        }
+        throw new CommandFailedException(ExitCode.USAGE, "host takes \"drain\" or \"retire NAME FOLDER...\"");
+    }
+
+    private static ExitCode drain(GlobalOptions options, Output out) throws CommandFailedException, IOException {
         List<URI> admins = options.adminAddresses();
-        if (!words.equals(List.of("drain")) || admins.isEmpty()) {
-            throw new CommandFailedException(ExitCode.USAGE, "host takes \"drain\" and needs --admin");
+        if (admins.isEmpty()) {
+            throw new CommandFailedException(ExitCode.USAGE, "drain needs --admin");
         }
         boolean clean = true;
         try (HostClient hosts = new HostClient()) {
@@ -33,4 +52,36 @@
         }
         return clean ? ExitCode.DONE : ExitCode.FAILED;
     }
+
+    /** Takes a host out of the fleet's file; publishing that hands its shares on without waiting for it. */
+    private static ExitCode retire(Output out, String host, List<String> folders)
+            throws CommandFailedException, IOException, InvalidConfigurationException {
+        for (Path file : ServiceFiles.find(folders)) {
+            ObjectNode tree = ServiceFiles.readTree(file);
+            if (removeHost(tree, host)) {
+                ServiceFiles.replace(file, tree);
+                out.line(host + " is out of " + file + "; publish it once the host has certainly stopped for good");
+                return ExitCode.DONE;
+            }
+        }
+        throw new CommandFailedException(ExitCode.USAGE, "no file has a host \"" + host + '"');
+    }
+
+    private static boolean removeHost(ObjectNode tree, String host) {
+        boolean removed = false;
+        for (JsonNode region : tree.path("regions")) {
+            for (JsonNode dataCentre : region.path("dataCentres")) {
+                ArrayNode hosts = (ArrayNode) dataCentre.path("hosts");
+                int index = IntStream.range(0, hosts.size())
+                        .filter(i -> hosts.get(i).asText().equals(host))
+                        .findFirst()
+                        .orElse(-1);
+                if (index >= 0) {
+                    hosts.remove(index);
+                    removed = true;
+                }
+            }
+        }
+        return removed;
+    }
 }
--- a/toucanlane-cli/src/main/java/org/toucanlane/cli/KeyCommand.java
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/KeyCommand.java
@@ -3,16 +3,12 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.SerializationFeature;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -29,9 +25,6 @@
 @Parameters(commandDescription = "issue | withdraw ID | list: keys in the files of FOLDER; publish to put into force")
 final class KeyCommand implements Command {
 
-    private static final ObjectMapper JSON =
-            JsonMapper.builder().enable(SerializationFeature.INDENT_OUTPUT).build();
-
     @Parameter(description = "issue FOLDER... | withdraw ID FOLDER... | list FOLDER...", required = true)
     private List<String> words = new ArrayList<>();
 
@@ -60,7 +53,7 @@
         }
         KeyHasher hasher = hasher();
         Path file = fileOf(folders);
-        ObjectNode tree = (ObjectNode) JSON.readTree(Files.readString(file, StandardCharsets.UTF_8));
+        ObjectNode tree = ServiceFiles.readTree(file);
         String key = KeyHasher.newKey(new SecureRandom());
         for (JsonNode entry : tree.path("accounts")) {
             if (entry.path("name").asText().equals(account)) {
@@ -71,7 +64,7 @@
                         .put("hash", hasher.hash(key));
             }
         }
-        write(file, tree);
+        ServiceFiles.replace(file, tree);
         out.progress("written to " + file + "; publish it to put the key into force. It is shown only now:");
         out.line(key);
     }
@@ -95,24 +88,15 @@
         throw new CommandFailedException(ExitCode.USAGE, "no file has the account \"" + account + '"');
     }
 
-    /** Replaces a file whole, so that a reader or a crash never meets half of it. */
-    private static void write(Path file, ObjectNode tree) throws IOException, InvalidConfigurationException {
-        String text = JSON.writeValueAsString(tree) + '\n';
-        ServiceDocument.parse(file.toString(), text);
-        Path next = file.resolveSibling(file.getFileName() + ".new");
-        Files.writeString(next, text, StandardCharsets.UTF_8);
-        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-    }
-
     private void withdraw(Output out) throws CommandFailedException, IOException, InvalidConfigurationException {
         if (words.size() < 3) {
             throw new CommandFailedException(ExitCode.USAGE, "withdraw takes an ID and folders");
         }
         String id = words.get(1);
         for (Path file : ServiceFiles.find(words.subList(2, words.size()))) {
-            ObjectNode tree = (ObjectNode) JSON.readTree(Files.readString(file, StandardCharsets.UTF_8));
+            ObjectNode tree = ServiceFiles.readTree(file);
             if (removeKey(tree, id)) {
-                write(file, tree);
+                ServiceFiles.replace(file, tree);
                 out.line("key " + id + " is out of " + file + "; publish it to withdraw the key");
                 return;
             }
@@ -137,10 +121,10 @@
     }
 
     private static void list(GlobalOptions options, Output out, List<String> folders)
-            throws CommandFailedException, IOException {
+            throws CommandFailedException, IOException, InvalidConfigurationException {
         List<List<String>> rows = new ArrayList<>();
         for (Path file : ServiceFiles.find(folders)) {
-            JsonNode tree = JSON.readTree(Files.readString(file, StandardCharsets.UTF_8));
+            JsonNode tree = ServiceFiles.readTree(file);
             tree.path("accounts")
                     .forEach(entry -> entry.path("keys")
                             .forEach(key -> rows.add(List.of(
--- a/toucanlane-cli/src/main/java/org/toucanlane/cli/ServiceFiles.java
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/ServiceFiles.java
@@ -1,9 +1,14 @@
 package org.toucanlane.cli;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
@@ -11,12 +16,15 @@
 import org.toucanlane.domain.configuration.Problem;
 import org.toucanlane.domain.configuration.ServiceDocument;
 
-/** Collects operators' files from folders. Stateless and thread-safe. */
+/** Collects operators' files from folders, and changes them. Stateless and thread-safe. */
 final class ServiceFiles {
 
     /** Name of an operator's file beside a service's code. */
     static final String FILE_NAME = "toucanlane.json";
 
+    private static final ObjectMapper JSON =
+            JsonMapper.builder().enable(SerializationFeature.INDENT_OUTPUT).build();
+
     private ServiceFiles() {}
 
     /** Returns the files in the given folders and in their direct subfolders, or the files themselves. */
@@ -65,4 +73,20 @@
         }
         return documents;
     }
+
+    /** Returns a file's JSON, to be changed and replaced. */
+    static ObjectNode readTree(Path file) throws IOException, InvalidConfigurationException {
+        String text = Files.readString(file, StandardCharsets.UTF_8);
+        ServiceDocument.parse(file.toString(), text);
+        return (ObjectNode) JSON.readTree(text);
+    }
+
+    /** Replaces a file whole, so that a reader or a crash never meets half of it. */
+    static void replace(Path file, ObjectNode tree) throws IOException, InvalidConfigurationException {
+        String text = JSON.writeValueAsString(tree) + '\n';
+        ServiceDocument.parse(file.toString(), text);
+        Path next = file.resolveSibling(file.getFileName() + ".new");
+        Files.writeString(next, text, StandardCharsets.UTF_8);
+        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
 }
--- a/toucanlane-cli/src/test/java/org/toucanlane/cli/MainTest.java
+++ b/toucanlane-cli/src/test/java/org/toucanlane/cli/MainTest.java
@@ -84,6 +84,16 @@
         assertThat(Files.readString(folder.resolve("toucanlane.json"))).doesNotContain(key.split("-")[1]);
     }
 
+    @Test
+    void aRetiredHostIsTakenOutOfTheFleet() throws Exception {
+        Files.writeString(folder.resolve("toucanlane.json"), FILE.replace("[\"h\"]", "[\"h\", \"gone\"]"));
+        assertThat(run("host", "retire", "gone", folder.toString())).isEqualTo(ExitCode.DONE);
+        assertThat(Files.readString(folder.resolve("toucanlane.json")))
+                .contains("\"h\"")
+                .doesNotContain("gone");
+        assertThat(run("host", "retire", "gone", folder.toString())).isEqualTo(ExitCode.USAGE);
+    }
+
     @Test
     void wrongArgumentsAreUsageErrors() throws Exception {
         assertThat(run()).isEqualTo(ExitCode.USAGE);
--- a/toucanlane-coordination/src/test/java/org/toucanlane/coordination/share/ShareMovePropertyTest.java
+++ b/toucanlane-coordination/src/test/java/org/toucanlane/coordination/share/ShareMovePropertyTest.java
@@ -37,6 +37,23 @@
         assertThat(found).isTrue();
     }
 
+    @Test
+    void theShareOfAHostThatIsNoLongerAMemberPassesOnWithoutIt() {
+        List<HostShare> before = List.of(new HostShare("gone", "d", WHOLE));
+        List<HostShare> after = List.of(new HostShare("heir", "d", WHOLE));
+        ShareTable still = table(before, after, Set.of("gone", "heir"));
+        ShareTable retired = table(before, after, Set.of("heir"));
+        assertThat(still.limitOf(ACCOUNT, "heir", Map.of())).isEqualTo(ShareLimit.NONE);
+        assertThat(still.awaitedBy("heir")).containsExactly("gone");
+        assertThat(still.limitOf(ACCOUNT, "heir", Map.of("gone", 2L))).isEqualTo(WHOLE);
+        assertThat(retired.limitOf(ACCOUNT, "heir", Map.of())).isEqualTo(WHOLE);
+        assertThat(retired.awaitedBy("heir")).isEmpty();
+    }
+
+    private static ShareTable table(List<HostShare> before, List<HostShare> after, Set<String> members) {
+        return ShareTable.of(2, Map.of(ACCOUNT, after), Map.of(ACCOUNT, before), members);
+    }
+
     @Test
     void partsOfADivisionSumToTheWhole() {
         List<HostShare> shares = ShareSplit.of(
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/proxy/Link.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/proxy/Link.java
@@ -1,8 +1,10 @@
 package org.toucanlane.standins.proxy;
 
 import io.netty.channel.Channel;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -14,6 +16,7 @@
 
     private final String name;
     private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
+    private final Queue<Runnable> healed = new ConcurrentLinkedQueue<>();
     private final AtomicLong bytes = new AtomicLong();
     private volatile long delayMillis;
     private volatile long bytesPerSecond;
@@ -52,6 +55,18 @@
         forwardCut = forward;
         backwardCut = backward;
         channels.forEach(channel -> channel.pipeline().fireUserEventTriggered(this));
+        if (!forward && !backward) {
+            Runnable next = healed.poll();
+            while (next != null) {
+                next.run();
+                next = healed.poll();
+            }
+        }
+    }
+
+    /** Runs {@code action} when the cut has healed. */
+    void whenHealed(Runnable action) {
+        healed.add(action);
     }
 
     void add(Channel channel) {
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/proxy/Pipe.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/proxy/Pipe.java
@@ -20,7 +20,6 @@
     private final boolean forward;
     private final Deque<ByteBuf> held = new ArrayDeque<>();
     private long freeAt;
-    private boolean ended;
 
     Pipe(Channel target, Link link, boolean forward) {
         this.target = target;
@@ -67,26 +66,18 @@
         }
         if (held.isEmpty()) {
             context.channel().config().setAutoRead(true);
-            if (ended) {
-                closeTarget(context);
-            }
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        ended = true;
-        if (!target.isActive()) {
-            drop();
-        }
-        if (!link.isCut(forward)) {
-            closeTarget(context);
-        }
-    }
-
-    private void drop() {
         held.forEach(ByteBuf::release);
         held.clear();
+        if (link.isCut(forward)) {
+            link.whenHealed(() -> closeTarget(context));
+        } else {
+            closeTarget(context);
+        }
     }
 
     private void closeTarget(ChannelHandlerContext context) {
--- a/toucanlane-standins/src/test/java/org/toucanlane/standins/fleet/LifecycleTest.java
+++ b/toucanlane-standins/src/test/java/org/toucanlane/standins/fleet/LifecycleTest.java
@@ -1,7 +1,15 @@
 package org.toucanlane.standins.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
-
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.openai.client.OpenAIClient;
+import com.openai.client.okhttp.OpenAIOkHttpClient;
+import com.openai.core.http.StreamResponse;
+import com.openai.errors.UnauthorizedException;
+import com.openai.models.chat.completions.ChatCompletion;
+import com.openai.models.chat.completions.ChatCompletionChunk;
+import com.openai.models.chat.completions.ChatCompletionCreateParams;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.URI;
@@ -182,6 +190,35 @@
                 .sum();
     }
 
+    @Test
+    void theFieldsUsualClientWorksUnchanged() {
+        OpenAIClient client = usualClient(fleet.bigKey());
+        ChatCompletionCreateParams question = ChatCompletionCreateParams.builder()
+                .model("m")
+                .maxCompletionTokens(5)
+                .addUserMessage("one two three")
+                .build();
+        ChatCompletion whole = client.chat().completions().create(question);
+        assertThat(whole.usage().orElseThrow().completionTokens()).isEqualTo(5);
+        try (StreamResponse<ChatCompletionChunk> stream =
+                client.chat().completions().createStreaming(question)) {
+            assertThat(stream.stream().count()).isEqualTo(5);
+        }
+        assertThat(client.models().list().data()).anyMatch(model -> model.id().equals("m"));
+        OpenAIClient stranger = usualClient("tl-no-key");
+        assertThatThrownBy(() -> stranger.chat().completions().create(question))
+                .isInstanceOf(UnauthorizedException.class);
+        client.close();
+        stranger.close();
+    }
+
+    private static OpenAIClient usualClient(String key) {
+        return OpenAIOkHttpClient.builder()
+                .baseUrl(fleet.host("s1").caller().resolve("/v1").toString())
+                .apiKey(key)
+                .build();
+    }
+
     @Test
     void noEndpointEverSeesAKey() throws Exception {
         for (HostProcess host : fleet.deployment().hosts().values()) {
--- a/toucanlane-standins/src/test/java/org/toucanlane/standins/fleet/PartitionTest.java
+++ b/toucanlane-standins/src/test/java/org/toucanlane/standins/fleet/PartitionTest.java
@@ -84,6 +84,33 @@
         Deployment.await("the cut to heal", () -> serves(north, fleet.southernKey()));
     }
 
+    @Test
+    void lossInOneDirectionIsNoticedAndHeals() throws InterruptedException {
+        HostProcess north = fleet.host("n1");
+        fleet.deployment().proxy().cutOneWay(SmallFleet.NORTH, SmallFleet.SOUTH, true);
+        try {
+            Deployment.await(
+                    "the loss to be noticed", () -> typeOfRefusal(north).equals("residency_unreachable"));
+            assertThat(serves(north, fleet.bigKey())).isTrue();
+        } finally {
+            fleet.deployment().proxy().cutOneWay(SmallFleet.NORTH, SmallFleet.SOUTH, false);
+        }
+        Deployment.await("the loss to heal", () -> serves(north, fleet.southernKey()));
+    }
+
+    private static String typeOfRefusal(HostProcess host) {
+        try {
+            HttpResponse<String> answer = fleet.chat(host, fleet.southernKey(), 1);
+            assertThat(answer.statusCode()).isNotEqualTo(200);
+            return SmallFleet.error(answer).path("type").asText();
+        } catch (IOException e) {
+            return "no answer";
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return "interrupted";
+        }
+    }
+
     @Test
     void bothSidesOfAPartitionTogetherKeepToTheLimit() throws Exception {
         cut(true);
