Go through a move of shares once, not with every later version

Also, the hosts awaited were compared with 'no share' by identity.

Change: the ledger remembers the move that it has been through, and compares it with the one that a version tells of.

Conclusion: publishing no longer disturbs limits.

--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareLedger.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareLedger.java
@@ -36,6 +36,7 @@
     private final Map<String, AccountShare> shares = new ConcurrentHashMap<>();
     private final Map<LenderKey, Long> shortUntil = new ConcurrentHashMap<>();
     private final Map<String, Long> raiseAt = new HashMap<>();
+    private final Map<String, ShareMove> completedMoves = new HashMap<>();
     private final AtomicLong nextId = new AtomicLong();
     private volatile ShareTable table = ShareTable.empty();
 
@@ -78,24 +79,44 @@
     }
 
     private void applyLimit(String account, ShareTable next, Map<String, Long> confirmed, long now) {
-        ShareLimit limit = next.limitOf(account, host, confirmed);
+        ShareLimit limit = usableLimit(account, next, confirmed, now);
         AccountShare share = shares.get(account);
-        ShareLimit current = share == null ? ShareLimit.NONE : share.limit();
-        boolean raised = !limit.isWithin(current);
-        if (!raised) {
-            raiseAt.remove(account);
-        } else if (next.isMoving(account)) {
-            long from = raiseAt.computeIfAbsent(
-                    account, key -> now + terms.lenderValidity().toNanos());
-            limit = from - now <= 0 ? limit : limit.min(current);
-        }
-        if (share != null && !current.equals(limit)) {
+        if (share != null && !share.limit().equals(limit)) {
             share.resize(limit, now);
         } else if (share == null && !limit.equals(ShareLimit.NONE)) {
             shares.put(account, AccountShare.startingEmpty(limit, Math.max(now, quarantineEnd())));
         }
     }
 
+    /**
+     * Returns what this host may use now. A move that it has been through once is not gone through again when a later
+     * version tells of the same one.
+     */
+    private ShareLimit usableLimit(String account, ShareTable next, Map<String, Long> confirmed, long now) {
+        Optional<ShareMove> move = next.move(account);
+        if (move.isEmpty()) {
+            completedMoves.remove(account);
+            raiseAt.remove(account);
+            return next.limitOf(account, host, confirmed);
+        }
+        if (move.get().equals(completedMoves.get(account))) {
+            return ShareSplit.heldBy(host, move.get().after());
+        }
+        ShareLimit limit = next.limitOf(account, host, confirmed);
+        ShareLimit current = shares.containsKey(account) ? shares.get(account).limit() : ShareLimit.NONE;
+        if (limit.isWithin(current)) {
+            raiseAt.remove(account);
+            return limit;
+        }
+        long from = raiseAt.computeIfAbsent(
+                account, key -> now + terms.lenderValidity().toNanos());
+        if (from - now > 0) {
+            return limit.min(current);
+        }
+        completedMoves.put(account, move.get());
+        return limit;
+    }
+
     /** Returns when every loan of an earlier process of this host has expired. */
     private long quarantineEnd() {
         return startedAt + terms.lenderValidity().toNanos();
--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareTable.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/ShareTable.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -85,10 +86,17 @@
         return moving.contains(account);
     }
 
+    /** Returns the division before and after the last move of {@code account}, or empty if it does not move. */
+    Optional<ShareMove> move(String account) {
+        return isMoving(account)
+                ? Optional.of(new ShareMove(earlier.get(account), holders(account)))
+                : Optional.empty();
+    }
+
     /** Returns the hosts whose confirmation {@code host} needs before it may use shares that move to it. */
     public Set<String> awaitedBy(String host) {
         return moving.stream()
-                .filter(account -> ShareSplit.heldBy(host, holders(account)) != ShareLimit.NONE)
+                .filter(account -> !ShareSplit.heldBy(host, holders(account)).equals(ShareLimit.NONE))
                 .flatMap(account -> earlier.get(account).stream().map(HostShare::host))
                 .filter(holder -> !holder.equals(host) && members.contains(holder))
                 .collect(ImmutableSet.toImmutableSet());
--- /dev/null
+++ b/toucanlane-coordination/src/test/java/org/toucanlane/coordination/share/LedgerMoveTest.java
@@ -0,0 +1,78 @@
+package org.toucanlane.coordination.share;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** A share that moves to a host, seen by that host's ledger. */
+class LedgerMoveTest {
+
+    private static final String ACCOUNT = "account";
+    private static final ShareLimit LIMIT = new ShareLimit(100, 1000);
+    private static final List<HostShare> BEFORE = List.of(new HostShare("old", "d", LIMIT));
+    private static final List<HostShare> AFTER = List.of(new HostShare("heir", "d", LIMIT));
+
+    private long now;
+    private final ShareLedger heir = ShareLedger.builder()
+            .self("heir", "d", 1)
+            .clock(() -> now)
+            .transport(new Nobody())
+            .build();
+
+    private static ShareTable tableOf(long version) {
+        return ShareTable.of(version, Map.of(ACCOUNT, AFTER), Map.of(ACCOUNT, BEFORE), Set.of("old", "heir"));
+    }
+
+    private long freeAfter(Duration time) {
+        now += time.toNanos();
+        return heir.freeTokens(ACCOUNT);
+    }
+
+    @Test
+    void aShareIsUsedOnlyAfterItsHolderConfirmedAndItsLoansRanOut() {
+        heir.apply(tableOf(2), Map.of());
+        assertThat(freeAfter(Duration.ofSeconds(10))).isZero();
+        heir.apply(tableOf(2), Map.of("old", 2L));
+        assertThat(freeAfter(Duration.ofSeconds(1))).isZero();
+        heir.apply(tableOf(2), Map.of("old", 2L));
+        assertThat(freeAfter(Duration.ofSeconds(2))).isZero();
+        heir.apply(tableOf(2), Map.of("old", 2L));
+        assertThat(freeAfter(Duration.ofSeconds(5))).isEqualTo(500);
+    }
+
+    @Test
+    void aLaterVersionThatTellsOfTheSameMoveTakesNothingAway() {
+        heir.apply(tableOf(2), Map.of("old", 2L));
+        now += TimeUnit.SECONDS.toNanos(3);
+        heir.apply(tableOf(2), Map.of("old", 2L));
+        assertThat(freeAfter(Duration.ofSeconds(5))).isEqualTo(500);
+        heir.apply(tableOf(3), Map.of("old", 2L));
+        assertThat(freeAfter(Duration.ZERO)).isEqualTo(500);
+        assertThat(freeAfter(Duration.ofSeconds(1))).isEqualTo(600);
+    }
+
+    /** No other host can be reached. */
+    private static final class Nobody implements LoanTransport {
+
+        @Override
+        public Optional<LoanGrant> borrow(String lender, String id, String account, long tokens, Duration wait) {
+            return Optional.empty();
+        }
+
+        @Override
+        public void giveBack(String lender, String loanId, String account, long unusedTokens) {
+            // Nothing was borrowed.
+        }
+
+        @Override
+        public boolean isReachable(String host) {
+            return false;
+        }
+    }
+}
