Prove mutual TLS between hosts, with certificates replaced while running

Cause: PeerTls had no test.

Change: certificates made in the test by Netty's own builder: hosts of one authority connect and a stranger's do not; replaced files are used for new connections, and the old certificate is then refused; files that can't be used leave the earlier ones in use. The peers' test handler is shared.

The stranger is the control: the same code connects with the right authority and not with another.

Conclusion: rotation works for new connections. Open ones stay as they are, and the name in a certificate is not compared with the host's.

--- /dev/null
+++ b/toucanlane-wire/src/test/java/org/toucanlane/wire/PeerTlsTest.java
@@ -0,0 +1,131 @@
+package org.toucanlane.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.pkitesting.CertificateBuilder;
+import io.netty.pkitesting.X509Bundle;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import javax.net.ssl.SSLException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class PeerTlsTest {
+
+    private static final Duration INTERVAL = Duration.ofMillis(50);
+    private static final Duration LONG = Duration.ofSeconds(20);
+    private static final Duration SHORT = Duration.ofMillis(1500);
+
+    @TempDir
+    private Path folder;
+
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private X509Bundle authority;
+    private PeerNode server;
+
+    @BeforeEach
+    void start() throws Exception {
+        authority = newAuthority("first");
+        server = node("server", keys("server", authority));
+    }
+
+    @AfterEach
+    void stop() {
+        server.close();
+        threads.shutdownNow();
+    }
+
+    private static X509Bundle newAuthority(String name) throws Exception {
+        return new CertificateBuilder()
+                .subject("CN=" + name)
+                .setIsCertificateAuthority(true)
+                .buildSelfSigned();
+    }
+
+    private PeerTls keys(String name, X509Bundle signer) throws Exception {
+        write(name, signer);
+        return PeerTls.load(file(name, "crt"), file(name, "key"), file(name, "ca"));
+    }
+
+    private Path file(String name, String kind) {
+        return folder.resolve(name + '.' + kind);
+    }
+
+    private void write(String name, X509Bundle signer) throws Exception {
+        X509Bundle bundle = new CertificateBuilder().subject("CN=" + name).buildIssuedBy(signer);
+        Files.writeString(file(name, "crt"), bundle.getCertificatePathPEM());
+        Files.writeString(file(name, "key"), bundle.getPrivateKeyPEM());
+        Files.writeString(file(name, "ca"), signer.getRootCertificatePEM());
+    }
+
+    private PeerNode node(String host, PeerTls tls) throws InterruptedException {
+        return new PeerNode(
+                new InetSocketAddress("127.0.0.1", 0),
+                new PeerIdentity(host, "d", 1),
+                new SilentHandler(),
+                Optional.of(tls),
+                threads);
+    }
+
+    private boolean connects(PeerTls tls, Duration within) throws InterruptedException {
+        PeerNode client = node("client", tls);
+        try {
+            client.connect("server", server.address(), INTERVAL);
+            long end = System.nanoTime() + within.toNanos();
+            boolean connected = false;
+            while (!connected && System.nanoTime() - end < 0) {
+                Thread.sleep(10);
+                connected = client.link("server").filter(PeerLink::isConnected).isPresent();
+            }
+            return connected;
+        } finally {
+            client.close();
+        }
+    }
+
+    @Test
+    void hostsWithCertificatesOfOneAuthorityConnectOthersDoNot() throws Exception {
+        assertThat(connects(keys("client", authority), LONG)).isTrue();
+        assertThat(connects(keys("stranger", newAuthority("second")), SHORT)).isFalse();
+    }
+
+    @Test
+    void replacedFilesAreUsedForNewConnections() throws Exception {
+        PeerTls client = keys("client", authority);
+        X509Bundle next = newAuthority("next");
+        write("server", next);
+        touch("server");
+        assertThat(connects(client, SHORT)).as("with the old certificate").isFalse();
+        write("client", next);
+        touch("client");
+        assertThat(connects(client, LONG)).as("with the new one").isTrue();
+    }
+
+    @Test
+    void filesThatCannotBeUsedLeaveTheEarlierOnesInUse() throws Exception {
+        PeerTls client = keys("client", authority);
+        Files.writeString(file("client", "crt"), "not a certificate");
+        touch("client");
+        assertThat(connects(client, LONG)).isTrue();
+        assertThatThrownBy(() -> PeerTls.load(file("client", "crt"), file("client", "key"), file("client", "ca")))
+                .isInstanceOf(SSLException.class);
+    }
+
+    /** Gives the files a later time than any that the system may have given them. */
+    private void touch(String name) throws IOException {
+        FileTime later = FileTime.fromMillis(System.currentTimeMillis() + 10_000);
+        for (String kind : new String[] {"crt", "key", "ca"}) {
+            Files.setLastModifiedTime(file(name, kind), later);
+        }
+    }
+}
--- a/toucanlane-wire/src/test/java/org/toucanlane/wire/PeerWireTest.java
+++ b/toucanlane-wire/src/test/java/org/toucanlane/wire/PeerWireTest.java
@@ -27,13 +27,7 @@
 import org.toucanlane.wire.proto.CallEnd;
 import org.toucanlane.wire.proto.CallHead;
 import org.toucanlane.wire.proto.CallOpen;
-import org.toucanlane.wire.proto.ConfigurationReply;
-import org.toucanlane.wire.proto.ConfigurationRequest;
 import org.toucanlane.wire.proto.Frame;
-import org.toucanlane.wire.proto.Heartbeat;
-import org.toucanlane.wire.proto.LoanReply;
-import org.toucanlane.wire.proto.LoanRequest;
-import org.toucanlane.wire.proto.LoanReturn;
 
 class PeerWireTest {
 
@@ -214,7 +208,7 @@
     }
 
     /** Answers calls by their path. */
-    private static final class Echo implements PeerHandler {
+    private static final class Echo extends SilentHandler {
 
         private final CountDownLatch cancelled = new CountDownLatch(1);
         private volatile long sent;
@@ -247,30 +241,5 @@
             }
             cancelled.countDown();
         }
-
-        @Override
-        public void onHeartbeat(PeerIdentity from, Heartbeat heartbeat) {
-            // Nothing to do.
-        }
-
-        @Override
-        public Heartbeat heartbeat() {
-            return Heartbeat.getDefaultInstance();
-        }
-
-        @Override
-        public LoanReply onLoanRequest(PeerIdentity from, LoanRequest request) {
-            return LoanReply.getDefaultInstance();
-        }
-
-        @Override
-        public void onLoanReturn(PeerIdentity from, LoanReturn returned) {
-            // Nothing to do.
-        }
-
-        @Override
-        public ConfigurationReply onConfigurationRequest(PeerIdentity from, ConfigurationRequest request) {
-            return ConfigurationReply.getDefaultInstance();
-        }
     }
 }
--- /dev/null
+++ b/toucanlane-wire/src/test/java/org/toucanlane/wire/SilentHandler.java
@@ -0,0 +1,43 @@
+package org.toucanlane.wire;
+
+import org.toucanlane.wire.proto.CallOpen;
+import org.toucanlane.wire.proto.ConfigurationReply;
+import org.toucanlane.wire.proto.ConfigurationRequest;
+import org.toucanlane.wire.proto.Heartbeat;
+import org.toucanlane.wire.proto.LoanReply;
+import org.toucanlane.wire.proto.LoanRequest;
+import org.toucanlane.wire.proto.LoanReturn;
+
+/** A host that says no more than it must. Stateless. */
+class SilentHandler implements PeerHandler {
+
+    @Override
+    public void onHeartbeat(PeerIdentity from, Heartbeat heartbeat) {
+        // Nothing to do.
+    }
+
+    @Override
+    public Heartbeat heartbeat() {
+        return Heartbeat.getDefaultInstance();
+    }
+
+    @Override
+    public void onCall(PeerIdentity from, CallOpen call, CallResponder responder) {
+        responder.fail("UNKNOWN_ROUTE", "nothing is served here", 0);
+    }
+
+    @Override
+    public LoanReply onLoanRequest(PeerIdentity from, LoanRequest request) {
+        return LoanReply.getDefaultInstance();
+    }
+
+    @Override
+    public void onLoanReturn(PeerIdentity from, LoanReturn returned) {
+        // Nothing to do.
+    }
+
+    @Override
+    public ConfigurationReply onConfigurationRequest(PeerIdentity from, ConfigurationRequest request) {
+        return ConfigurationReply.getDefaultInstance();
+    }
+}
