Remove what nothing calls, and refuse at last what still waits when a drain ends

Change: the dead methods are gone, LoanTransport.none serves both places, and a drain whose time is up closes the queues, which refuses what waits at once as leaving, not run.

Ruled out: closing the queues when the drain begins, since what waits then may still be served.

Conclusion: behaviour changes only at the end of a drain's time.

--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/AccountShare.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/AccountShare.java
@@ -1,11 +1,9 @@
 package org.toucanlane.coordination.share;
 
-import com.google.common.annotations.VisibleForTesting;
 import com.google.common.base.Preconditions;
 import com.google.errorprone.annotations.CheckReturnValue;
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -227,18 +225,6 @@
         levels.record(level());
     }
 
-    /** Returns what is free and lent, in whole tokens, for checks of the invariant. */
-    @VisibleForTesting
-    Map<String, Long> balances(long nowNanos) {
-        synchronized (lock) {
-            advance(nowNanos);
-            Map<String, Long> balances = new HashMap<>();
-            balances.put("free", TokenAmounts.wholeTokens(freeUnits));
-            balances.put("lent", TokenAmounts.wholeTokens(lentUnits));
-            return balances;
-        }
-    }
-
     /** Tokens taken together; {@code spentAt} is negative until they count as spent. */
     private static final class Entry {
 
--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/LoanTransport.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/LoanTransport.java
@@ -14,4 +14,25 @@
 
     /** Returns whether {@code host} was heard of lately. */
     boolean isReachable(String host);
+
+    /** Returns a transport that reaches nobody, for a host that uses only the shares that it holds. */
+    static LoanTransport none() {
+        return new LoanTransport() {
+            @Override
+            public Optional<LoanGrant> borrow(
+                    String lender, String loanId, String account, long tokens, Duration wait) {
+                return Optional.empty();
+            }
+
+            @Override
+            public void giveBack(String lender, String loanId, String account, long unusedTokens) {
+                // Nothing was borrowed.
+            }
+
+            @Override
+            public boolean isReachable(String host) {
+                return false;
+            }
+        };
+    }
 }
--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/PeakHistory.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/share/PeakHistory.java
@@ -65,8 +65,4 @@
     void forgetBefore(long point) {
         points.headMap(point, false).clear();
     }
-
-    int size() {
-        return points.size();
-    }
 }
--- a/toucanlane-coordination/src/test/java/org/toucanlane/coordination/share/LedgerMoveTest.java
+++ b/toucanlane-coordination/src/test/java/org/toucanlane/coordination/share/LedgerMoveTest.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -22,7 +21,7 @@
     private final ShareLedger heir = ShareLedger.builder()
             .self("heir", "d", 1)
             .clock(() -> now)
-            .transport(new Nobody())
+            .transport(LoanTransport.none())
             .build();
 
     private static ShareTable tableOf(long version) {
@@ -56,23 +55,4 @@
         assertThat(freeAfter(Duration.ZERO)).isEqualTo(500);
         assertThat(freeAfter(Duration.ofSeconds(1))).isEqualTo(600);
     }
-
-    /** No other host can be reached. */
-    private static final class Nobody implements LoanTransport {
-
-        @Override
-        public Optional<LoanGrant> borrow(String lender, String id, String account, long tokens, Duration wait) {
-            return Optional.empty();
-        }
-
-        @Override
-        public void giveBack(String lender, String loanId, String account, long unusedTokens) {
-            // Nothing was borrowed.
-        }
-
-        @Override
-        public boolean isReachable(String host) {
-            return false;
-        }
-    }
 }
--- a/toucanlane-domain/src/main/java/org/toucanlane/domain/configuration/FleetConfiguration.java
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/configuration/FleetConfiguration.java
@@ -154,14 +154,6 @@
                 .collect(ImmutableSet.toImmutableSet());
     }
 
-    /** Returns the name of the data centre that {@code host} belongs to. */
-    public Optional<String> dataCentreOf(String host) {
-        return dataCentres.values().stream()
-                .filter(dataCentre -> dataCentre.hosts().contains(host))
-                .map(DataCentre::name)
-                .findFirst();
-    }
-
     /** Returns who holds which share of each account's limit. */
     public Map<String, List<HostShare>> shareHolders() {
         ImmutableMap<String, HashedNodes> hosts = dataCentres.values().stream()
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/MeteredAnswer.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/MeteredAnswer.java
@@ -65,11 +65,6 @@
         return count;
     }
 
-    /** Returns how many events of a stream have passed, the end marker aside; 0 if it is no stream. */
-    public long eventCount() {
-        return events == null ? 0 : events.count();
-    }
-
     private long usedTokens() {
         if (answer.status() >= HTTP_ERROR) {
             return 0;
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/lifecycle/Drain.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/lifecycle/Drain.java
@@ -7,12 +7,13 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.toucanlane.gateway.GatewaySettings;
+import org.toucanlane.gateway.dispatch.EndpointPools;
 
 /**
  * A planned stop that cuts no request.
  *
  * <p>First the host says that it is leaving, and still takes requests from those who have not heard; then it refuses new
- * ones and lets those that run finish, for a bounded time. May be asked for more than once; all wait for the same end.
+ * ones and lets those that run finish, for a bounded time; what still waits in a queue then is refused. May be asked for more than once; all wait for the same end.
  */
 @Singleton
 public final class Drain {
@@ -22,14 +23,16 @@
 
     private final HostPhase phase;
     private final RunningRequests running;
+    private final EndpointPools pools;
     private final Duration announce;
     private final Duration longest;
 
     /** Creates a drain that has not begun. */
     @Inject
-    public Drain(HostPhase phase, RunningRequests running, GatewaySettings settings) {
+    public Drain(HostPhase phase, RunningRequests running, EndpointPools pools, GatewaySettings settings) {
         this.phase = phase;
         this.running = running;
+        this.pools = pools;
         this.announce = settings.announceLeaving();
         this.longest = settings.drainTime();
     }
@@ -50,6 +53,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        pools.closeQueues();
         int left = running.count();
         LOG.info("drained; {} requests were still running", left);
         return left;
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/FairQueue.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/FairQueue.java
@@ -9,7 +9,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
@@ -246,11 +245,6 @@
             this.takenAt = takenAt;
         }
 
-        /** Returns how long the place has been held. */
-        public Duration heldFor() {
-            return Duration.of(System.nanoTime() - takenAt, TimeUnit.NANOSECONDS.toChronoUnit());
-        }
-
         @Override
         public void close() {
             if (released.compareAndSet(false, true)) {
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/HostProcess.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/HostProcess.java
@@ -104,11 +104,6 @@
         return process.waitFor(STOP_SECONDS, TimeUnit.SECONDS);
     }
 
-    /** Asks the process to stop as planned, without waiting. */
-    public void beginStop() {
-        process.destroy();
-    }
-
     /** Freezes the process. */
     public void freeze() throws IOException, InterruptedException {
         signal("STOP");
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/SizeMeasurement.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/SizeMeasurement.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
-import org.toucanlane.coordination.share.LoanGrant;
 import org.toucanlane.coordination.share.LoanTerms;
 import org.toucanlane.coordination.share.LoanTransport;
 import org.toucanlane.coordination.share.ShareLedger;
@@ -96,7 +95,7 @@
         String holder = table.holders(account).get(0).host();
         ShareLedger ledger = ShareLedger.builder()
                 .self(holder, table.holders(account).get(0).dataCentre(), 1)
-                .transport(new NoLoans())
+                .transport(LoanTransport.none())
                 .terms(new LoanTerms(Duration.ofNanos(1), Duration.ZERO, Duration.ZERO, 0))
                 .build();
         ledger.apply(table, Map.of());
@@ -135,23 +134,4 @@
         Arrays.sort(nanos);
         row.put("p50_us", nanos[calls / 2] / 1e3).put("p99_us", nanos[calls * 99 / 100] / 1e3);
     }
-
-    /** Nobody to borrow from. */
-    private static final class NoLoans implements LoanTransport {
-
-        @Override
-        public Optional<LoanGrant> borrow(String lender, String id, String account, long tokens, Duration wait) {
-            return Optional.empty();
-        }
-
-        @Override
-        public void giveBack(String lender, String loanId, String account, long unusedTokens) {
-            // Nothing was borrowed.
-        }
-
-        @Override
-        public boolean isReachable(String host) {
-            return false;
-        }
-    }
 }
--- a/toucanlane-wire/src/main/java/org/toucanlane/wire/CallResponder.java
+++ b/toucanlane-wire/src/main/java/org/toucanlane/wire/CallResponder.java
@@ -97,11 +97,6 @@
         }
     }
 
-    /** Returns whether the caller no longer wants the answer. */
-    public boolean isCancelled() {
-        return cancelled;
-    }
-
     void credit(long bytes) {
         window.add(bytes);
     }
