--- /dev/null
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/serving/ServingConfiguration.java
@@ -0,0 +1,112 @@
+package org.toucanlane.domain.serving;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableMap;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * One version of everything that operators decide, indexed for the path of a request.
+ *
+ * <p>Invariant: the routes of a host name are ordered by falling length of their prefixes. Immutable and thread-safe.
+ */
+public final class ServingConfiguration {
+
+    private final long version;
+    private final ImmutableListMultimap<String, ServingRoute> routesByHost;
+    private final ImmutableMap<String, ServingService> services;
+    private final ImmutableMap<String, ServingAccount> accounts;
+    private final ImmutableMap<String, ServingAccount> accountsByKey;
+    private final CallerLimits limits;
+
+    private ServingConfiguration(
+            long version,
+            Collection<ServingRoute> routes,
+            Collection<ServingService> services,
+            Map<String, ServingAccount> accountsByKey,
+            Collection<ServingAccount> accounts,
+            CallerLimits limits) {
+        this.version = version;
+        this.routesByHost = routes.stream()
+                .sorted(Comparator.comparingInt((ServingRoute route) ->
+                        -route.pathPrefix().length()))
+                .collect(ImmutableListMultimap.toImmutableListMultimap(
+                        route -> route.host().toLowerCase(Locale.ROOT), route -> route));
+        this.services = services.stream()
+                .collect(ImmutableMap.toImmutableMap(ServingService::name, service -> service, (a, b) -> b));
+        this.accounts = accounts.stream()
+                .collect(ImmutableMap.toImmutableMap(ServingAccount::name, account -> account, (a, b) -> b));
+        this.accountsByKey = ImmutableMap.copyOf(accountsByKey);
+        this.limits = limits;
+    }
+
+    /**
+     * Returns a configuration.
+     *
+     * @param accountsByKey accounts by the keys that callers present; empty where no route asks for a key
+     */
+    public static ServingConfiguration of(
+            long version,
+            Collection<ServingRoute> routes,
+            Collection<ServingService> services,
+            Map<String, ServingAccount> accountsByKey,
+            Collection<ServingAccount> accounts,
+            CallerLimits limits) {
+        return new ServingConfiguration(version, routes, services, accountsByKey, accounts, limits);
+    }
+
+    /** Returns the version. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns the route with the longest prefix that begins {@code path}, or empty if there is none. */
+    public Optional<ServingRoute> route(String host, String path) {
+        for (ServingRoute route : routesByHost.get(host.toLowerCase(Locale.ROOT))) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the routes of a host name. */
+    public ImmutableList<ServingRoute> routesOf(String host) {
+        return routesByHost.get(host.toLowerCase(Locale.ROOT));
+    }
+
+    /** Returns the service of that name, or empty if the configuration does not know it. */
+    public Optional<ServingService> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns the account that holds {@code key}, or empty if none does. */
+    public Optional<ServingAccount> accountOf(String key) {
+        return Optional.ofNullable(accountsByKey.get(key));
+    }
+
+    /** Returns the account of that name, or empty if there is none. */
+    public Optional<ServingAccount> account(String name) {
+        return Optional.ofNullable(accounts.get(name));
+    }
+
+    /** Returns whether requests need a key unless their route is open. */
+    public boolean requiresKeys() {
+        return !accounts.isEmpty();
+    }
+
+    /** Returns the names of all accounts. */
+    public Set<String> accountNames() {
+        return accounts.keySet();
+    }
+
+    /** Returns the bounds on callers. */
+    public CallerLimits limits() {
+        return limits;
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -0,0 +1,361 @@
+package org.toucanlane.edge.call;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.domain.outcome.Ran;
+import org.toucanlane.edge.fleet.CachedPart;
+import org.toucanlane.edge.fleet.EndpointHandle;
+import org.toucanlane.edge.fleet.Reservation;
+import org.toucanlane.edge.http.InboundRequest;
+import org.toucanlane.edge.http.Responder;
+import org.toucanlane.policy.placement.Placement;
+import org.toucanlane.policy.retry.RepeatRule;
+
+/**
+ * One request from its admission to its last answer.
+ *
+ * <p>Invariants: at most one attempt runs at a time; the caller gets exactly one answer; an answer that says "not run"
+ * is given only if no attempt may have run, and none runs later. Used on the host's event loop only.
+ */
+final class Call implements Responder.Listener, Attempt.Listener {
+
+    /** When to come back after a refusal for which nothing better is known: a few requests end in that time. */
+    private static final Duration DEFAULT_RETRY = Duration.ofMillis(400);
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final CallServices services;
+    private final InboundRequest inbound;
+    private final AdmittedCall admitted;
+    private final Set<String> tried = new HashSet<>();
+    private final List<Attempt> attempts = new ArrayList<>();
+    private Attempt current;
+    private ScheduledFuture<?> deadline;
+    private long lastEvent = -1;
+    private int endpointsLeft;
+    private int refusals;
+    private boolean mayHaveRun;
+    private boolean begun;
+    private boolean ended;
+    private double estimateMillis;
+    private double firstMillis = -1;
+    private String lastCause = "";
+
+    Call(CallServices services, InboundRequest inbound, AdmittedCall admitted) {
+        this.services = services;
+        this.inbound = inbound;
+        this.admitted = admitted;
+        this.endpointsLeft = admitted.endpointsLeft();
+        admitted.head().resumeAfter().ifPresent(this::resumeAfter);
+    }
+
+    private void resumeAfter(String id) {
+        try {
+            lastEvent = Long.parseLong(id);
+        } catch (NumberFormatException e) {
+            services.log().decision("resume_id_ignored", "request", admitted.head().id(), "id", id);
+        }
+    }
+
+    /** Sends the request for the first time. */
+    void start() {
+        inbound.responder().listen(this);
+        long left = admitted.deadline() - System.nanoTime();
+        deadline = services.loop().schedule(this::deadlinePassed, Math.max(0, left), TimeUnit.NANOSECONDS);
+        sendNext();
+    }
+
+    private void sendNext() {
+        try {
+            Destination next = services.router().choose(admitted, tried);
+            estimateMillis = next.estimateMillis();
+            if (next instanceof Destination.Local local) {
+                send(local);
+            } else if (next instanceof Destination.Remote remote) {
+                send(remote);
+            }
+        } catch (CallRefusedException e) {
+            if (mayHaveRun) {
+                giveUp(ErrorKind.ENDPOINT_FAILED, Duration.ZERO, lastCause);
+            } else {
+                giveUp(e.kind(), e.retryAfter(), String.valueOf(e.getMessage()));
+            }
+        }
+    }
+
+    private void send(Destination.Local local) {
+        EndpointHandle endpoint = local.endpoint();
+        Placement placement = local.placement();
+        Optional<Prompt> prompt = admitted.head().prompt();
+        List<CachedPart> parts = prompt.map(Prompt::parts).orElse(List.of());
+        long needed = placement.newTokens() + prompt.map(Prompt::outputTokens).orElse(0L);
+        Reservation reservation =
+                new Reservation(endpoint, parts, placement.newTokens(), needed, placement.estimateMillis());
+        services.router().noteSend(endpoint);
+        if (attempts.isEmpty()) {
+            services.budgets().of(admitted.service()).earn();
+        }
+        EndpointSend send = new EndpointSend(
+                endpoint.id(), timeLeft(), admitted.account().map(holder -> holder.name()), lastEventId());
+        HttpHeaders headers = services.dialect().endpointHeaders(inbound.head(), send);
+        tried.add(endpoint.id());
+        run(new EndpointUpstream(endpoint, reservation), headers);
+    }
+
+    private void send(Destination.Remote remote) {
+        HttpHeaders headers = services.dialect().hopHeaders(inbound.head());
+        HopHeaders.write(
+                headers,
+                new HopHeaders.Hop(
+                        services.self(),
+                        admitted.account().map(holder -> holder.name()),
+                        timeLeft(),
+                        endpointsLeft,
+                        admitted.version(),
+                        lastEventId()));
+        tried.add(remote.host().entry().name());
+        run(new HostUpstream(remote.host()), headers);
+    }
+
+    private Optional<String> lastEventId() {
+        return lastEvent < 0 ? Optional.empty() : Optional.of(Long.toString(lastEvent));
+    }
+
+    private Duration timeLeft() {
+        return Duration.ofNanos(Math.max(0, admitted.deadline() - System.nanoTime()));
+    }
+
+    private void run(Upstream upstream, HttpHeaders headers) {
+        Attempt attempt = new Attempt(services.dialect(), admitted, upstream, lastEvent, this);
+        attempts.add(attempt);
+        current = attempt;
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                inbound.head().method(),
+                inbound.head().uri(),
+                inbound.body().retainedDuplicate(),
+                headers,
+                EmptyHttpHeaders.INSTANCE);
+        if (inbound.body().isReadable() || inbound.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, inbound.body().readableBytes());
+        }
+        upstream.send(request, attempt);
+    }
+
+    @Override
+    public void events(HttpResponse head, ByteBuf whole, long lastId) {
+        lastEvent = lastId;
+        if (begun) {
+            inbound.responder().send(whole);
+        } else {
+            begun = true;
+            firstMillis = millisSoFar();
+            HttpResponse response = new DefaultHttpResponse(
+                    HttpVersion.HTTP_1_1, head.status(), services.dialect().answerHeaders(head));
+            HopHeaders.strip(response.headers());
+            response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+            inbound.responder().begin(response, whole);
+        }
+        if (!inbound.responder().isWritable() && current != null) {
+            current.setReading(false);
+        }
+    }
+
+    @Override
+    public void complete() {
+        inbound.responder().finish();
+        end("served", 200);
+    }
+
+    @Override
+    public void answered(HttpResponse head, EndpointReply reply, ByteBuf body) {
+        mayHaveRun = true;
+        boolean failed = reply.status() >= 500;
+        if (failed && repeats(RepeatRule.Kind.MAY_HAVE_RUN)) {
+            body.release();
+            lastCause = "the endpoint answered " + reply.status();
+            sendNext();
+            return;
+        }
+        if (begun) {
+            body.release();
+            breakOff("the endpoint answered " + reply.status() + " where a stream was to go on");
+            return;
+        }
+        if (promisesNotRun(reply.status())) {
+            body.release();
+            giveUp(ErrorKind.ENDPOINT_FAILED, Duration.ZERO, "the endpoint answered " + reply.status());
+            return;
+        }
+        firstMillis = millisSoFar();
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                head.status(),
+                body,
+                services.dialect().answerHeaders(head),
+                EmptyHttpHeaders.INSTANCE);
+        HopHeaders.strip(response.headers());
+        inbound.responder().respond(response);
+        end("served", reply.status());
+    }
+
+    /** Returns whether a status tells callers that the request was not run; only a host may say so for an endpoint. */
+    private static boolean promisesNotRun(int status) {
+        return status == 408 || status == 421 || status == 429 || status == 503;
+    }
+
+    @Override
+    public void failed(RepeatRule.Kind kind, String cause) {
+        lastCause = cause;
+        mayHaveRun |= kind == RepeatRule.Kind.MAY_HAVE_RUN;
+        services.log()
+                .decision(
+                        "attempt_failed",
+                        "request",
+                        admitted.head().id(),
+                        "upstream",
+                        current == null ? "" : current.upstream().name(),
+                        "kind",
+                        kind,
+                        "cause",
+                        cause);
+        if (repeats(kind)) {
+            sendNext();
+        } else if (begun) {
+            breakOff(cause);
+        } else if (mayHaveRun) {
+            giveUp(ErrorKind.ENDPOINT_FAILED, Duration.ZERO, cause);
+        } else {
+            giveUp(ErrorKind.OVERLOADED, DEFAULT_RETRY, cause);
+        }
+    }
+
+    private boolean repeats(RepeatRule.Kind kind) {
+        boolean host = current != null && current.upstream().isHost();
+        if (kind == RepeatRule.Kind.MAY_HAVE_RUN) {
+            endpointsLeft = host ? 0 : endpointsLeft - 1;
+        }
+        RepeatRule.Failure failure = new RepeatRule.Failure(
+                kind, admitted.route().isRepeatable(), endpointsLeft, refusals, timeLeft());
+        if (kind != RepeatRule.Kind.MAY_HAVE_RUN) {
+            refusals++;
+        }
+        current = null;
+        return RepeatRule.allows(failure, services.budgets().of(admitted.service()));
+    }
+
+    private void deadlinePassed() {
+        if (ended) {
+            return;
+        }
+        boolean sent = current != null || mayHaveRun;
+        cancelCurrent();
+        if (begun) {
+            breakOff("the deadline has passed");
+        } else if (sent) {
+            giveUp(ErrorKind.TIMED_OUT, Duration.ZERO, "the deadline has passed");
+        } else {
+            giveUp(ErrorKind.DEADLINE_TOO_CLOSE, DEFAULT_RETRY, "the deadline has passed");
+        }
+    }
+
+    private void cancelCurrent() {
+        if (current != null) {
+            current.cancel();
+            current = null;
+        }
+    }
+
+    private void breakOff(String cause) {
+        lastCause = cause;
+        inbound.responder().abort();
+        end("broken_off", 0);
+    }
+
+    private void giveUp(ErrorKind kind, Duration retryAfter, String detail) {
+        lastCause = detail;
+        FullHttpResponse response = services.dialect()
+                .refuse(new Refusal(kind, retryAfter, Optional.of(admitted.head().id()), detail));
+        if (admitted.fromHost().isPresent()) {
+            HopHeaders.markRefusal(response.headers(), kind);
+        }
+        inbound.responder().respond(response);
+        if (kind.ran() == Ran.NOT_RUN) {
+            admitted.account().ifPresent(account -> services.limiter().refund(account, admitted.charged()));
+        }
+        end(kind.word(), kind.status());
+    }
+
+    @Override
+    public void callerGone() {
+        cancelCurrent();
+        end("caller_gone", 0);
+    }
+
+    @Override
+    public void writabilityChanged(boolean writable) {
+        if (current != null) {
+            current.setReading(writable);
+        }
+    }
+
+    private double millisSoFar() {
+        return (System.nanoTime() - inbound.receivedAt()) / NANOS_PER_MILLI;
+    }
+
+    private void end(String outcome, int status) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        deadline.cancel(false);
+        inbound.body().release();
+        String upstream = attempts.isEmpty() ? "" : attempts.get(attempts.size() - 1).upstream().name();
+        attempts.forEach(Attempt::release);
+        services.log()
+                .decision(
+                        "request_" + outcome,
+                        "request",
+                        admitted.head().id(),
+                        "route",
+                        admitted.route().name(),
+                        "account",
+                        admitted.account().map(holder -> holder.name()).orElse(""),
+                        "from",
+                        admitted.fromHost().orElse(""),
+                        "version",
+                        admitted.version(),
+                        "status",
+                        status,
+                        "attempts",
+                        attempts.size(),
+                        "upstream",
+                        upstream,
+                        "estimate_ms",
+                        estimateMillis,
+                        "first_ms",
+                        firstMillis,
+                        "total_ms",
+                        millisSoFar(),
+                        "cause",
+                        lastCause);
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
@@ -0,0 +1,183 @@
+package org.toucanlane.edge.call;
+
+import com.google.common.collect.Sets;
+import io.netty.handler.codec.http.HttpRequest;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import org.toucanlane.coordination.hash.RendezvousHash;
+import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.domain.serving.ServingAccount;
+import org.toucanlane.domain.serving.ServingConfiguration;
+import org.toucanlane.domain.serving.ServingRoute;
+import org.toucanlane.edge.fleet.Fleet;
+import org.toucanlane.edge.limit.AccountLimiter;
+import org.toucanlane.edge.state.Freshness;
+
+/**
+ * Decides whether a request may run, from the configuration in force: route, key, account's limit, residency.
+ *
+ * <p>Invariant: a request whose key must be checked is admitted only while {@link Freshness} holds, so a withdrawn key
+ * stops working in bounded time whatever this host is cut off from. Used on the host's event loop only.
+ */
+final class CallAdmission {
+
+    /** When a caller may come back to a host that knows no configuration or can't check keys: a few store calls. */
+    private static final Duration UNKNOWN_STATE_RETRY = Duration.ofMillis(700);
+
+    /** When a request may come back that another host has passed on too early: a watch brings the version by then. */
+    private static final Duration VERSION_RETRY = Duration.ofMillis(200);
+
+    /** Regions that no request can be allowed in at once, as the answer to homes that exclude each other. */
+    private static final Set<String> NOWHERE = Set.of("");
+
+    private final Fleet fleet;
+    private final Freshness freshness;
+    private final AccountLimiter limiter;
+    private final CallDialect dialect;
+
+    CallAdmission(Fleet fleet, Freshness freshness, AccountLimiter limiter, CallDialect dialect) {
+        this.fleet = fleet;
+        this.freshness = freshness;
+        this.limiter = limiter;
+        this.dialect = dialect;
+    }
+
+    /**
+     * Admits a caller's request.
+     *
+     * @throws CallRefusedException if it may not run
+     */
+    AdmittedCall admit(HttpRequest request, CallHead head, long receivedAt) throws CallRefusedException {
+        ServingConfiguration configuration = configuration();
+        ServingRoute route = route(configuration, head);
+        Optional<ServingAccount> account = account(configuration, route, head);
+        long cost = account.map(holder -> holder.costOf(declaredTokens(head))).orElse(0L);
+        if (account.isPresent()) {
+            Optional<Duration> wait = limiter.charge(account.get(), cost);
+            if (wait.isPresent()) {
+                throw new CallRefusedException(ErrorKind.RATE_LIMITED, wait.get(), "the account's limit is used up");
+            }
+        }
+        return new AdmittedCall(
+                head,
+                route,
+                route.serviceFor(RendezvousHash.hash(head.id())),
+                account,
+                regions(route, account),
+                receivedAt + timeLeft(head, route).toNanos(),
+                route.maxEndpoints(),
+                cost,
+                Optional.empty(),
+                configuration.version());
+    }
+
+    /**
+     * Admits a request that another host has admitted and passed on.
+     *
+     * @throws CallRefusedException if it may not run here
+     */
+    AdmittedCall admitHop(HttpRequest request, CallHead head, long receivedAt) throws CallRefusedException {
+        HopHeaders.Hop hop = hop(request);
+        ServingConfiguration configuration = configuration();
+        if (configuration.version() < hop.version()) {
+            throw new CallRefusedException(
+                    ErrorKind.NOT_READY, VERSION_RETRY, "version " + hop.version() + " is not in force here yet");
+        }
+        ServingRoute route = route(configuration, head);
+        Optional<ServingAccount> account = hop.account().flatMap(configuration::account);
+        if (account.isEmpty() && hop.account().isPresent()) {
+            throw new CallRefusedException(ErrorKind.NOT_READY, VERSION_RETRY, "the account is not known here");
+        }
+        CallHead resumed = hop.resumeAfter().isEmpty()
+                ? head
+                : new CallHead(
+                        head.id(),
+                        head.host(),
+                        head.path(),
+                        head.timeLeftMillis(),
+                        head.key(),
+                        head.prompt(),
+                        hop.resumeAfter());
+        return new AdmittedCall(
+                resumed,
+                route,
+                route.serviceFor(RendezvousHash.hash(head.id())),
+                account,
+                regions(route, account),
+                receivedAt + hop.timeLeft().toNanos(),
+                Math.max(1, hop.endpointsLeft()),
+                0,
+                Optional.of(hop.from()),
+                configuration.version());
+    }
+
+    private static HopHeaders.Hop hop(HttpRequest request) throws CallRefusedException {
+        try {
+            return HopHeaders.read(request);
+        } catch (InvalidCallException e) {
+            throw new CallRefusedException(ErrorKind.INVALID_REQUEST, Duration.ZERO, e.getMessage());
+        }
+    }
+
+    /**
+     * Reads a request's head.
+     *
+     * @throws CallRefusedException if it can't be read
+     */
+    CallHead read(HttpRequest request) throws CallRefusedException {
+        try {
+            return dialect.read(request);
+        } catch (InvalidCallException e) {
+            throw new CallRefusedException(ErrorKind.INVALID_REQUEST, Duration.ZERO, e.getMessage());
+        }
+    }
+
+    private ServingConfiguration configuration() throws CallRefusedException {
+        return fleet.configuration()
+                .orElseThrow(() -> new CallRefusedException(
+                        ErrorKind.NOT_READY, UNKNOWN_STATE_RETRY, "no configuration is known yet"));
+    }
+
+    private static ServingRoute route(ServingConfiguration configuration, CallHead head) throws CallRefusedException {
+        return configuration
+                .route(head.host(), head.path())
+                .orElseThrow(() -> new CallRefusedException(
+                        ErrorKind.UNKNOWN_ROUTE, Duration.ZERO, "no route serves this host name and path"));
+    }
+
+    private Optional<ServingAccount> account(ServingConfiguration configuration, ServingRoute route, CallHead head)
+            throws CallRefusedException {
+        if (!configuration.requiresKeys() || route.open()) {
+            return Optional.empty();
+        }
+        if (!freshness.holds()) {
+            throw new CallRefusedException(
+                    ErrorKind.NOT_READY, UNKNOWN_STATE_RETRY, "keys can't be checked while the store is away");
+        }
+        return Optional.of(head.key()
+                .flatMap(configuration::accountOf)
+                .orElseThrow(() -> new CallRefusedException(
+                        ErrorKind.UNAUTHENTICATED, Duration.ZERO, "the key is missing, unknown or withdrawn")));
+    }
+
+    private static long declaredTokens(CallHead head) {
+        return head.prompt().map(Prompt::chargedTokens).orElse(-1L);
+    }
+
+    private static Set<String> regions(ServingRoute route, Optional<ServingAccount> account) {
+        Set<String> ofAccount = account.map(ServingAccount::regions).orElse(Set.of());
+        if (route.regions().isEmpty() || ofAccount.isEmpty()) {
+            return route.regions().isEmpty() ? ofAccount : route.regions();
+        }
+        Set<String> both = Sets.intersection(route.regions(), ofAccount).immutableCopy();
+        return both.isEmpty() ? NOWHERE : both;
+    }
+
+    private static Duration timeLeft(CallHead head, ServingRoute route) {
+        Duration asked = head.timeLeftMillis().isPresent()
+                ? Duration.ofMillis(head.timeLeftMillis().getAsLong())
+                : route.timeout();
+        return asked.compareTo(route.timeout()) < 0 ? asked : route.timeout();
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -0,0 +1,118 @@
+package org.toucanlane.edge.call;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpRequest;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.edge.fleet.Fleet;
+import org.toucanlane.edge.http.InboundRequest;
+import org.toucanlane.edge.http.RequestHandler;
+import org.toucanlane.edge.limit.AccountLimiter;
+import org.toucanlane.edge.state.Freshness;
+import org.toucanlane.edge.telemetry.DecisionLog;
+
+/** Serves requests of callers and of other hosts. Used on the host's event loop only. */
+public final class CallService {
+
+    private final CallServices services;
+    private final CallAdmission admission;
+
+    private CallService(CallServices services, CallAdmission admission) {
+        this.services = services;
+        this.admission = admission;
+    }
+
+    /**
+     * Creates the service of one host.
+     *
+     * @param place name and region of the host
+     * @param repeats bound on repeats
+     */
+    public static CallService create(
+            EventLoop loop,
+            CallDialect dialect,
+            Fleet fleet,
+            Freshness freshness,
+            AccountLimiter limiter,
+            DecisionLog log,
+            Place place,
+            RepeatBound repeats) {
+        Router router = new Router(fleet, place.region(), RandomGenerator.of("L64X128MixRandom"));
+        CallServices services = new CallServices(
+                loop,
+                dialect,
+                router,
+                limiter,
+                new CallServices.Budgets(repeats.perCall(), repeats.saved()),
+                log,
+                place.host());
+        return new CallService(services, new CallAdmission(fleet, freshness, limiter, dialect));
+    }
+
+    /** Returns the handler of callers' requests. */
+    public RequestHandler forCallers() {
+        return request -> serve(request, admission::admit, false);
+    }
+
+    /** Returns the handler of requests that other hosts pass on. */
+    public RequestHandler forHosts() {
+        return request -> serve(request, admission::admitHop, true);
+    }
+
+    private void serve(InboundRequest request, Admitter admitter, boolean ofHost) {
+        Optional<String> id = Optional.empty();
+        try {
+            CallHead head = admission.read(request.head());
+            id = Optional.of(head.id());
+            new Call(services, request, admitter.admit(request.head(), head, request.receivedAt())).start();
+        } catch (CallRefusedException e) {
+            request.body().release();
+            refuse(request, id, e, ofHost);
+        }
+    }
+
+    private void refuse(InboundRequest request, Optional<String> id, CallRefusedException e, boolean ofHost) {
+        ErrorKind kind = e.kind();
+        FullHttpResponse response =
+                services.dialect().refuse(new Refusal(kind, e.retryAfter(), id, String.valueOf(e.getMessage())));
+        if (ofHost) {
+            HopHeaders.markRefusal(response.headers(), kind);
+        }
+        request.responder().respond(response);
+        services.log()
+                .decision(
+                        "request_" + kind.word(),
+                        "request",
+                        id.orElse(""),
+                        "status",
+                        kind.status(),
+                        "retry_after_ms",
+                        e.retryAfter().toMillis(),
+                        "cause",
+                        String.valueOf(e.getMessage()));
+    }
+
+    /** Admits one request. */
+    private interface Admitter {
+        AdmittedCall admit(HttpRequest request, CallHead head, long receivedAt)
+                throws CallRefusedException;
+    }
+
+    /**
+     * Where this host is.
+     *
+     * @param host its name
+     * @param region its region
+     */
+    public record Place(String host, String region) {}
+
+    /**
+     * This host's part of the bound on repeats.
+     *
+     * @param perCall repeats that each first send earns
+     * @param saved repeats that may be saved up for each service
+     */
+    public record RepeatBound(double perCall, int saved) {}
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointSend.java
@@ -0,0 +1,15 @@
+package org.toucanlane.edge.call;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * What an endpoint is told beside the caller's own headers.
+ *
+ * @param endpoint the endpoint that is meant; any other refuses
+ * @param timeLeft how long the answer is waited for
+ * @param account client account that the request is for, if any
+ * @param resumeAfter id of the last event that the caller has, if a stream goes on
+ */
+public record EndpointSend(
+        String endpoint, Duration timeLeft, Optional<String> account, Optional<String> resumeAfter) {}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
@@ -0,0 +1,61 @@
+package org.toucanlane.edge.call;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
+import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.edge.fleet.EndpointHandle;
+import org.toucanlane.edge.fleet.Reservation;
+import org.toucanlane.edge.http.ClientExchange;
+
+/** An endpoint of this host's region. */
+final class EndpointUpstream implements Upstream {
+
+    private final EndpointHandle endpoint;
+    private final Reservation reservation;
+
+    EndpointUpstream(EndpointHandle endpoint, Reservation reservation) {
+        this.endpoint = endpoint;
+        this.reservation = reservation;
+    }
+
+    @Override
+    public void send(FullHttpRequest request, ClientExchange exchange) {
+        endpoint.pool().send(request, false, exchange);
+    }
+
+    @Override
+    public Optional<ErrorKind> refusalOf(HttpResponse response) {
+        return Optional.empty();
+    }
+
+    @Override
+    public void progressed() {
+        endpoint.progressed(System.nanoTime());
+    }
+
+    @Override
+    public void firstAnswer() {
+        reservation.firstAnswer();
+    }
+
+    @Override
+    public void end(Reservation.Result result) {
+        reservation.end(result);
+    }
+
+    @Override
+    public void replaced() {
+        endpoint.leave();
+    }
+
+    @Override
+    public String name() {
+        return endpoint.id();
+    }
+
+    @Override
+    public boolean isHost() {
+        return false;
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
@@ -0,0 +1,59 @@
+package org.toucanlane.edge.call;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
+import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.edge.fleet.HostHandle;
+import org.toucanlane.edge.fleet.Reservation;
+import org.toucanlane.edge.http.ClientExchange;
+
+/** A host of another region, which sends the request to an endpoint there. */
+final class HostUpstream implements Upstream {
+
+    private final HostHandle host;
+
+    HostUpstream(HostHandle host) {
+        this.host = host;
+    }
+
+    @Override
+    public void send(FullHttpRequest request, ClientExchange exchange) {
+        host.pool().send(request, false, exchange);
+    }
+
+    @Override
+    public Optional<ErrorKind> refusalOf(HttpResponse response) {
+        return HopHeaders.refusalOf(response);
+    }
+
+    @Override
+    public void progressed() {
+        // Reports, not answers, tell whether a host is there.
+    }
+
+    @Override
+    public void firstAnswer() {
+        // The other host keeps the account of its endpoints.
+    }
+
+    @Override
+    public void end(Reservation.Result result) {
+        // As above.
+    }
+
+    @Override
+    public void replaced() {
+        // A host's address is bound to its lease.
+    }
+
+    @Override
+    public String name() {
+        return host.entry().name();
+    }
+
+    @Override
+    public boolean isHost() {
+        return true;
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -0,0 +1,174 @@
+package org.toucanlane.edge.call;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.domain.serving.ServingService;
+import org.toucanlane.edge.fleet.EndpointHandle;
+import org.toucanlane.edge.fleet.Fleet;
+import org.toucanlane.edge.fleet.HostHandle;
+import org.toucanlane.policy.placement.EndpointPlacer;
+import org.toucanlane.policy.placement.Placement;
+import org.toucanlane.policy.placement.PlacementCandidate;
+import org.toucanlane.policy.placement.PromptSize;
+
+/**
+ * Finds the endpoint or the region for a request among what this host believes of the fleet.
+ *
+ * <p>Invariants: a request goes only where its route and its account allow it, and takes at most one hop. Used on the
+ * host's event loop only.
+ */
+final class Router {
+
+    /** Time that a hop between regions adds: a round trip of two hosts that are far apart. */
+    private static final double HOP_MILLIS = 130;
+
+    /** A report that is older tells nothing of a region's load; reports come several times a second. */
+    private static final Duration REPORT_AGE = Duration.ofMillis(1_500);
+
+    /** Part of the objective up to which a request stays in its region, whatever other regions offer. */
+    private static final double STAY_PART = 0.6;
+
+    /** How much faster another region must be to be worth the bytes. */
+    private static final double LEAVE_RATIO = 0.75;
+
+    /** When to come back if nothing can take the request: an endpoint's return or another's registration. */
+    private static final Duration NO_ENDPOINT_RETRY = Duration.ofMillis(500);
+
+    /** When to come back if all endpoints are cold. */
+    private static final Duration COLD_RETRY = Duration.ofMillis(400);
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final Fleet fleet;
+    private final String region;
+    private final RandomGenerator random;
+
+    Router(Fleet fleet, String region, RandomGenerator random) {
+        this.fleet = fleet;
+        this.region = region;
+        this.random = random;
+    }
+
+    /**
+     * Chooses where a request goes.
+     *
+     * @param tried endpoints and hosts that have failed it
+     * @throws CallRefusedException if nothing can take it now
+     */
+    Destination choose(AdmittedCall call, Set<String> tried) throws CallRefusedException {
+        long now = System.nanoTime();
+        Optional<Destination.Local> here = call.mayRunIn(region) ? local(call, tried, now) : Optional.empty();
+        Optional<Destination.Remote> away =
+                call.fromHost().isEmpty() && !isGoodEnough(here, call) ? remote(call, tried, now) : Optional.empty();
+        if (here.isPresent()
+                && (away.isEmpty() || away.get().estimateMillis() > here.get().estimateMillis() * LEAVE_RATIO)) {
+            return here.get();
+        }
+        if (away.isPresent()) {
+            return away.get();
+        }
+        throw refusal(call, now);
+    }
+
+    private static boolean isGoodEnough(Optional<Destination.Local> here, AdmittedCall call) {
+        return here.isPresent()
+                && here.get().estimateMillis() <= call.route().objective().toMillis() * STAY_PART;
+    }
+
+    private CallRefusedException refusal(AdmittedCall call, long now) {
+        boolean allCold = fleet.endpointsOf(call.service()).stream()
+                .anyMatch(endpoint -> isHere(endpoint) && endpoint.isUsable(now) && endpoint.isCold(now));
+        return allCold
+                ? new CallRefusedException(ErrorKind.OVERLOADED, COLD_RETRY, "all endpoints have just started")
+                : new CallRefusedException(ErrorKind.NO_ENDPOINT, NO_ENDPOINT_RETRY, "no endpoint can take the request");
+    }
+
+    private boolean isHere(EndpointHandle endpoint) {
+        return fleet.regionOf(endpoint.entry().dataCentre()).equals(region);
+    }
+
+    private Optional<Destination.Local> local(AdmittedCall call, Set<String> tried, long now) {
+        Optional<Prompt> prompt = call.head().prompt();
+        List<PlacementCandidate> candidates = new ArrayList<>();
+        for (EndpointHandle endpoint : fleet.endpointsOf(call.service())) {
+            if (isHere(endpoint)
+                    && endpoint.isUsable(now)
+                    && !tried.contains(endpoint.id())
+                    && !fleet.isEvacuated(endpoint.entry().dataCentre())
+                    && hasColdRoom(endpoint, call, now)) {
+                long cached = prompt.map(size -> endpoint.cachedTokensOf(size.parts())).orElse(0L);
+                candidates.add(new PlacementCandidate(endpoint.load(now), cached));
+            }
+        }
+        PromptSize size = prompt.map(Prompt::size).orElse(PromptSize.NONE);
+        long affinity = prompt.map(Prompt::affinity).orElse(0L);
+        return EndpointPlacer.choose(candidates, size, affinity, random)
+                .flatMap(placement -> fleet.endpoint(placement.id())
+                        .map(endpoint -> new Destination.Local(endpoint, placement)));
+    }
+
+    private static boolean hasColdRoom(EndpointHandle endpoint, AdmittedCall call, long now) {
+        return !endpoint.isCold(now) || endpoint.hasColdRoom(now);
+    }
+
+    /** Notes a request to {@code endpoint} against the rate that it bears while it is cold. */
+    void noteSend(EndpointHandle endpoint) {
+        long now = System.nanoTime();
+        if (!endpoint.isCold(now)) {
+            return;
+        }
+        double perSecond = fleet.configuration()
+                .flatMap(current -> current.service(endpoint.entry().service()))
+                .map(ServingService::coldRequestsPerSecond)
+                .orElse(0.0);
+        if (perSecond > 0) {
+            long hosts = 1 + fleet.hosts().stream()
+                    .filter(host -> host.entry().region().equals(region))
+                    .count();
+            endpoint.coldSend(now, Duration.ofMillis((long) (MILLIS_PER_SECOND * hosts / perSecond)));
+        }
+    }
+
+    private Optional<Destination.Remote> remote(AdmittedCall call, Set<String> tried, long now) {
+        return fleet.hosts().stream()
+                .map(host -> host.entry().region())
+                .distinct()
+                .filter(other -> !other.equals(region) && call.mayRunIn(other))
+                .flatMap(other -> remote(call, other, tried, now).stream())
+                .min(Comparator.comparingDouble(Destination.Remote::estimateMillis));
+    }
+
+    private Optional<Destination.Remote> remote(AdmittedCall call, String other, Set<String> tried, long now) {
+        List<HostHandle> reachable = fleet.hosts().stream()
+                .filter(host -> host.entry().region().equals(other)
+                        && host.isHeard(now, REPORT_AGE.toNanos())
+                        && !tried.contains(host.entry().name()))
+                .toList();
+        if (reachable.isEmpty()) {
+            return Optional.empty();
+        }
+        HostHandle host = reachable.get(random.nextInt(reachable.size()));
+        return estimateIn(call, other, now).map(placement ->
+                new Destination.Remote(host, placement.estimateMillis() + HOP_MILLIS));
+    }
+
+    /** Returns what is expected in another region, whose hosts are assumed to keep shared prefixes where we would. */
+    private Optional<Placement> estimateIn(AdmittedCall call, String other, long now) {
+        PromptSize size = call.head().prompt().map(Prompt::size).orElse(PromptSize.NONE);
+        long affinity = call.head().prompt().map(Prompt::affinity).orElse(0L);
+        List<PlacementCandidate> candidates = fleet.endpointsOf(call.service()).stream()
+                .filter(endpoint -> fleet.regionOf(endpoint.entry().dataCentre()).equals(other)
+                        && !endpoint.isLeaving()
+                        && !endpoint.isCold(now)
+                        && !fleet.isEvacuated(endpoint.entry().dataCentre()))
+                .map(endpoint -> new PlacementCandidate(endpoint.load(now), size.sharedTokens()))
+                .toList();
+        return EndpointPlacer.choose(candidates, size, affinity, random);
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Upstream.java
@@ -0,0 +1,36 @@
+package org.toucanlane.edge.call;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
+import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.edge.fleet.Reservation;
+import org.toucanlane.edge.http.ClientExchange;
+
+/** Where one attempt of a request goes: an endpoint, or another host. Used on the host's event loop only. */
+interface Upstream {
+
+    /** Sends the request. */
+    void send(FullHttpRequest request, ClientExchange exchange);
+
+    /** Returns the kind of error if the answer is another host's own, not an endpoint's. */
+    Optional<ErrorKind> refusalOf(HttpResponse response);
+
+    /** Notes that something has come. */
+    void progressed();
+
+    /** Notes that the first answer has come. */
+    void firstAnswer();
+
+    /** Gives the place back. */
+    void end(Reservation.Result result);
+
+    /** Notes that another endpoint has the address now. */
+    void replaced();
+
+    /** Returns the name of the endpoint or the host. */
+    String name();
+
+    /** Returns whether it is another host, which may send the request to several endpoints. */
+    boolean isHost();
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
@@ -0,0 +1,266 @@
+package org.toucanlane.edge.fleet;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.toucanlane.coordination.hash.RendezvousHash;
+import org.toucanlane.domain.serving.EndpointEntry;
+import org.toucanlane.edge.http.ChannelPool;
+import org.toucanlane.policy.health.EndpointHealth;
+import org.toucanlane.policy.placement.EndpointLoad;
+
+/**
+ * One process of an endpoint: its connections, what this host has running on it, and how it has answered.
+ *
+ * <p>Invariant: counts are those of the reservations that have not ended. A later process under the same id gets a new
+ * handle. Used on the host's event loop only.
+ */
+public final class EndpointHandle {
+
+    /** Part of the memory for which kept prefixes are remembered; the rest is for running requests. */
+    private static final double CACHED_PART = 0.7;
+
+    /** Weight of the newest answer in the moving averages: about the last ten answers count. */
+    private static final double NEWEST_WEIGHT = 0.15;
+
+    /** Bounds on the measured slowness, so that one odd answer does not decide. */
+    private static final double MIN_SLOWNESS = 0.4;
+
+    private static final double MAX_SLOWNESS = 12;
+
+    /** Mean time of a request before one has been measured. */
+    private static final double FIRST_ENGINE_MILLIS = 800;
+
+    private static final double FIRST_PLAIN_MILLIS = 40;
+
+    /** Time without any byte from an endpoint that has requests after which it gets no more. */
+    private static final Duration SILENCE = Duration.ofMillis(1_300);
+
+    /** Failures in a row that eject an endpoint; fewer are common when a part of the requests fails. */
+    private static final int FAILURES_TO_EJECT = 4;
+
+    private static final Duration FIRST_EJECTION = Duration.ofMillis(800);
+    private static final Duration LONGEST_EJECTION = Duration.ofSeconds(6);
+
+    /** Time in which the failure rate falls to a half while there are no answers, so that an endpoint is tried again. */
+    private static final Duration FAILURE_HALF_LIFE = Duration.ofSeconds(3);
+
+    private final ChannelPool pool;
+    private final long idHash;
+    private final EndpointHealth health = new EndpointHealth(FAILURES_TO_EJECT, FIRST_EJECTION, LONGEST_EJECTION);
+    private final Map<String, RemoteLoad> remote = new LinkedHashMap<>();
+    private final LinkedHashMap<String, Long> cachedParts = new LinkedHashMap<>(64, 0.75f, true);
+    private EndpointEntry entry;
+    private long memoryTokens;
+    private long cachedTokens;
+    private int running;
+    private long pendingTokens;
+    private long usedTokens;
+    private double slowness = 1;
+    private double failureRate;
+    private long failureRateAt = System.nanoTime();
+    private double serviceMillis;
+    private long lastProgress = System.nanoTime();
+    private long coldUntil = System.nanoTime();
+    private long nextColdSend = System.nanoTime();
+    private boolean leaving;
+
+    EndpointHandle(EndpointEntry entry, ChannelPool pool, long memoryTokens) {
+        this.entry = entry;
+        this.pool = pool;
+        this.memoryTokens = memoryTokens;
+        this.idHash = RendezvousHash.hash(entry.id());
+        this.serviceMillis = memoryTokens > 0 ? FIRST_ENGINE_MILLIS : FIRST_PLAIN_MILLIS;
+        update(entry);
+    }
+
+    /** Takes another size of its memory; 0 for a plain service. */
+    void resize(long tokens) {
+        memoryTokens = tokens;
+    }
+
+    /** Takes a later entry of the same process. */
+    void update(EndpointEntry next) {
+        entry = next;
+        if (!next.coldLeft().isZero()) {
+            makeCold(next.coldLeft());
+        }
+        if (next.state() == EndpointEntry.State.DRAINING) {
+            leave();
+        }
+    }
+
+    /** Bounds its rate for {@code time} from now. */
+    void makeCold(Duration time) {
+        long until = System.nanoTime() + time.toNanos();
+        if (until - coldUntil > 0) {
+            coldUntil = until;
+        }
+    }
+
+    /** Sends it nothing more; what runs goes on. */
+    public void leave() {
+        leaving = true;
+        pool.close();
+    }
+
+    /** Returns whether it gets nothing more. */
+    public boolean isLeaving() {
+        return leaving;
+    }
+
+    /** Returns whether requests may be sent to it now, apart from a bound on its rate while it is cold. */
+    public boolean isUsable(long now) {
+        return !leaving && !health.isEjected(now) && !isSilent(now);
+    }
+
+    private boolean isSilent(long now) {
+        return running > 0 && now - lastProgress > SILENCE.toNanos();
+    }
+
+    /** Returns whether its rate is bounded now. */
+    public boolean isCold(long now) {
+        return coldUntil - now > 0;
+    }
+
+    /** Returns whether the bound on its rate while it is cold allows a request now. */
+    public boolean hasColdRoom(long now) {
+        return nextColdSend - now <= 0;
+    }
+
+    /** Notes a request to a cold endpoint; the next one is allowed after {@code gap}. */
+    public void coldSend(long now, Duration gap) {
+        nextColdSend = now + gap.toNanos();
+    }
+
+    /** Returns the tokens of {@code parts}, from the first on without a gap, that it is believed to keep. */
+    public long cachedTokensOf(List<CachedPart> parts) {
+        long tokens = 0;
+        for (CachedPart part : parts) {
+            if (!cachedParts.containsKey(part.id())) {
+                return tokens;
+            }
+            tokens += part.tokens();
+        }
+        return tokens;
+    }
+
+    /** Notes that it has read {@code parts}. */
+    void cache(List<CachedPart> parts) {
+        for (CachedPart part : parts) {
+            if (cachedParts.put(part.id(), part.tokens()) == null) {
+                cachedTokens += part.tokens();
+            }
+        }
+        var eldest = cachedParts.entrySet().iterator();
+        while (cachedTokens > memoryTokens * CACHED_PART && eldest.hasNext()) {
+            cachedTokens -= eldest.next().getValue();
+            eldest.remove();
+        }
+    }
+
+    void began(long newTokens, long neededTokens, long now) {
+        if (running == 0) {
+            lastProgress = now;
+        }
+        running++;
+        pendingTokens += newTokens;
+        usedTokens += neededTokens;
+    }
+
+    void hadFirstAnswer(long newTokens, double observedMillis, double estimatedMillis) {
+        pendingTokens -= newTokens;
+        double ratio = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, observedMillis * slowness / estimatedMillis));
+        slowness += NEWEST_WEIGHT * (ratio - slowness);
+    }
+
+    void ended(long neededTokens, double observedMillis, boolean complete) {
+        running--;
+        usedTokens -= neededTokens;
+        if (complete) {
+            serviceMillis += NEWEST_WEIGHT * (observedMillis - serviceMillis);
+        }
+    }
+
+    void dropPending(long newTokens) {
+        pendingTokens -= newTokens;
+    }
+
+    /** Notes that something has come from it. */
+    public void progressed(long now) {
+        lastProgress = now;
+    }
+
+    void succeeded(long now) {
+        health.succeeded();
+        setFailureRate(failureRate(now) * (1 - NEWEST_WEIGHT), now);
+    }
+
+    void failed(long now) {
+        health.failed(now);
+        setFailureRate(failureRate(now) + NEWEST_WEIGHT * (1 - failureRate(now)), now);
+    }
+
+    private void setFailureRate(double rate, long now) {
+        failureRate = rate;
+        failureRateAt = now;
+    }
+
+    private double failureRate(long now) {
+        double halfLives = (double) (now - failureRateAt) / FAILURE_HALF_LIFE.toNanos();
+        return failureRate * Math.pow(0.5, halfLives);
+    }
+
+    /** Takes another host's report of what it has running here; null if the host is gone. */
+    public void report(String host, RemoteLoad load) {
+        if (load == null) {
+            remote.remove(host);
+        } else {
+            remote.put(host, load);
+        }
+    }
+
+    /** Returns its load with the reports of other hosts. */
+    public EndpointLoad load(long now) {
+        int allRunning = running;
+        long allPending = pendingTokens;
+        long allUsed = usedTokens;
+        for (RemoteLoad load : remote.values()) {
+            allRunning += load.running();
+            allPending += load.pendingTokens();
+            allUsed += load.usedTokens();
+        }
+        return new EndpointLoad(
+                entry.id(),
+                idHash,
+                entry.slots(),
+                allRunning,
+                allPending,
+                allUsed,
+                memoryTokens,
+                slowness,
+                failureRate(now),
+                serviceMillis);
+    }
+
+    /** Returns what this host has running on it. */
+    public RemoteLoad ownLoad() {
+        return new RemoteLoad(running, pendingTokens, usedTokens);
+    }
+
+    /** Returns its newest entry. */
+    public EndpointEntry entry() {
+        return entry;
+    }
+
+    /** Returns its name. */
+    public String id() {
+        return entry.id();
+    }
+
+    /** Returns its connections. */
+    public ChannelPool pool() {
+        return pool;
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/FleetChanges.java
@@ -0,0 +1,24 @@
+package org.toucanlane.edge.fleet;
+
+import java.util.Optional;
+import org.toucanlane.domain.serving.EndpointEntry;
+import org.toucanlane.domain.serving.ServingConfiguration;
+
+/** Takes what the store says of the fleet, one key at a time. */
+public interface FleetChanges {
+
+    /** The configuration is now {@code next}. */
+    void configuration(ServingConfiguration next);
+
+    /** An endpoint has written {@code entry}, or has none any more. */
+    void endpoint(String id, Optional<EndpointEntry> entry);
+
+    /** Endpoints of a data centre are to get nothing, or may get requests again. */
+    void evacuation(String dataCentre, boolean active);
+
+    /** A host has written {@code entry}, or has none any more. */
+    void host(String name, Optional<HostRecord> entry);
+
+    /** A value can't be read; what it said before stays in force unless it names an endpoint. */
+    void unreadable(String key, String reason);
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/HostHandle.java
@@ -0,0 +1,43 @@
+package org.toucanlane.edge.fleet;
+
+import org.toucanlane.edge.http.ChannelPool;
+
+/** Another host, with connections for requests that run there. Used on the event loop only. */
+public final class HostHandle {
+
+    private final HostRecord entry;
+    private final ChannelPool pool;
+    private long heardAt;
+    private boolean heard;
+
+    HostHandle(HostRecord entry, ChannelPool pool) {
+        this.entry = entry;
+        this.pool = pool;
+    }
+
+    /** Returns what it says of itself. */
+    public HostRecord entry() {
+        return entry;
+    }
+
+    /** Returns its connections. */
+    public ChannelPool pool() {
+        return pool;
+    }
+
+    /** Notes that a report has come from it. */
+    public void hear(long now) {
+        heardAt = now;
+        heard = true;
+    }
+
+    /** Returns whether a report has come within {@code nanos}. */
+    public boolean isHeard(long now, long nanos) {
+        return heard && now - heardAt <= nanos;
+    }
+
+    /** Returns whether reports came once and have stopped for {@code nanos}. */
+    public boolean hasFallenSilent(long now, long nanos) {
+        return heard && now - heardAt > nanos;
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Reservation.java
@@ -0,0 +1,82 @@
+package org.toucanlane.edge.fleet;
+
+import java.util.List;
+
+/**
+ * One request's place on an endpoint, from its sending to its end.
+ *
+ * <p>{@link #end} counts once. Used on the host's event loop only.
+ */
+public final class Reservation {
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final EndpointHandle endpoint;
+    private final List<CachedPart> parts;
+    private final long newTokens;
+    private final long neededTokens;
+    private final double estimatedMillis;
+    private final long sentAt = System.nanoTime();
+    private boolean answered;
+    private boolean ended;
+
+    /**
+     * Takes a place.
+     *
+     * @param parts parts of the prompt, which the endpoint keeps once it has read them
+     * @param newTokens prompt tokens that it is expected to read
+     * @param neededTokens tokens that the request keeps in its memory
+     * @param estimatedMillis expected time to the first answer
+     */
+    public Reservation(
+            EndpointHandle endpoint, List<CachedPart> parts, long newTokens, long neededTokens, double estimatedMillis) {
+        this.endpoint = endpoint;
+        this.parts = parts;
+        this.newTokens = newTokens;
+        this.neededTokens = neededTokens;
+        this.estimatedMillis = Math.max(1, estimatedMillis);
+        endpoint.began(newTokens, neededTokens, sentAt);
+    }
+
+    /** Notes that its first answer has come. */
+    public void firstAnswer() {
+        if (!answered && !ended) {
+            answered = true;
+            endpoint.hadFirstAnswer(newTokens, millisSince(sentAt), estimatedMillis);
+            endpoint.cache(parts);
+        }
+    }
+
+    /** Gives the place back. */
+    public void end(Result result) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        if (!answered) {
+            endpoint.dropPending(newTokens);
+        }
+        endpoint.ended(neededTokens, millisSince(sentAt), result == Result.COMPLETE);
+        long now = System.nanoTime();
+        switch (result) {
+            case COMPLETE -> endpoint.succeeded(now);
+            case FAILED -> endpoint.failed(now);
+            case GIVEN_UP -> {}
+            default -> throw new AssertionError(result);
+        }
+    }
+
+    private static double millisSince(long start) {
+        return (System.nanoTime() - start) / NANOS_PER_MILLI;
+    }
+
+    /** How a request ended, as far as it says something of the endpoint. */
+    public enum Result {
+        /** The endpoint answered whole. */
+        COMPLETE,
+        /** The endpoint failed it. */
+        FAILED,
+        /** The caller or this host gave it up, or the endpoint was too busy. */
+        GIVEN_UP
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/LoadReport.java
@@ -0,0 +1,88 @@
+package org.toucanlane.edge.gossip;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.toucanlane.edge.fleet.RemoteLoad;
+
+/**
+ * What one host tells others of itself several times a second.
+ *
+ * <p>A report may be lost or come late; each is complete in itself for what it names.
+ *
+ * @param host the host
+ * @param incarnation number of its process
+ * @param endpoints what it has running, by endpoint
+ * @param demand what callers ask of it in a second, by account
+ */
+public record LoadReport(
+        String host, long incarnation, Map<String, RemoteLoad> endpoints, Map<String, Double> demand) {
+
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Creates a report. */
+    public LoadReport {
+        endpoints = Map.copyOf(endpoints);
+        demand = Map.copyOf(demand);
+    }
+
+    /** Returns the report as bytes. */
+    public byte[] encode() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(512);
+        try (JsonGenerator json = JSON.createGenerator(bytes)) {
+            json.writeStartObject();
+            json.writeStringField("host", host);
+            json.writeNumberField("incarnation", incarnation);
+            json.writeObjectFieldStart("endpoints");
+            for (Map.Entry<String, RemoteLoad> entry : endpoints.entrySet()) {
+                RemoteLoad load = entry.getValue();
+                json.writeFieldName(entry.getKey());
+                json.writeArray(new long[] {load.running(), load.pendingTokens(), load.usedTokens()}, 0, 3);
+            }
+            json.writeEndObject();
+            json.writeObjectFieldStart("demand");
+            for (Map.Entry<String, Double> entry : demand.entrySet()) {
+                json.writeNumberField(entry.getKey(), Math.round(entry.getValue()));
+            }
+            json.writeEndObject();
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException("a byte array can always be written to", e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /**
+     * Reads a report.
+     *
+     * @throws IOException if the bytes are none
+     */
+    public static LoadReport decode(byte[] bytes) throws IOException {
+        JsonNode node = MAPPER.readTree(bytes);
+        if (node == null || !node.path("host").isTextual()) {
+            throw new IOException("not a load report");
+        }
+        Map<String, RemoteLoad> endpoints = new HashMap<>();
+        node.path("endpoints")
+                .properties()
+                .forEach(entry -> endpoints.put(entry.getKey(), loadOf(entry.getValue())));
+        Map<String, Double> demand = new HashMap<>();
+        node.path("demand")
+                .properties()
+                .forEach(
+                        entry -> demand.put(entry.getKey(), entry.getValue().asDouble()));
+        return new LoadReport(
+                node.path("host").asText(), node.path("incarnation").asLong(), endpoints, demand);
+    }
+
+    private static RemoteLoad loadOf(JsonNode values) {
+        return new RemoteLoad(
+                values.path(0).asInt(), values.path(1).asLong(), values.path(2).asLong());
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -0,0 +1,269 @@
+package org.toucanlane.edge.host;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.toucanlane.coordination.store.AsyncStore;
+import org.toucanlane.domain.serving.CallerLimits;
+import org.toucanlane.edge.call.CallDialect;
+import org.toucanlane.edge.call.CallService;
+import org.toucanlane.edge.fleet.Fleet;
+import org.toucanlane.edge.fleet.FleetDocuments;
+import org.toucanlane.edge.gossip.Gossip;
+import org.toucanlane.edge.http.HttpServer;
+import org.toucanlane.edge.http.RequestHandler;
+import org.toucanlane.edge.limit.AccountLimiter;
+import org.toucanlane.edge.state.Freshness;
+import org.toucanlane.edge.state.HostLease;
+import org.toucanlane.edge.state.StoreMirror;
+import org.toucanlane.edge.telemetry.DecisionLog;
+
+/**
+ * One host: everything that serves callers, on a single event loop.
+ *
+ * <p>A host has about one core, so one loop does all its work and its state needs no locks. {@link #stop} may be called
+ * on any thread; all else belongs to the loop or to the start.
+ */
+public final class EdgeHost {
+
+    /** Part of the time to revoke a key for which an answer of the store is relied on; the rest covers its delay. */
+    private static final double PROOF_PART = 0.62;
+
+    /** How long a host's record outlives its process: two lost renewals. */
+    private static final Duration LEASE_TIME = Duration.ofMillis(2_500);
+
+    /** How often the clocks are compared and idle connections are closed. */
+    private static final Duration HOUSEKEEPING = Duration.ofMillis(200);
+
+    /** Part of the fleet's bound on repeats that is given out; the rest covers repeats of other kinds. */
+    private static final double REPEAT_PART = 0.75;
+
+    /** Hosts that the extra repeats are divided between at least, so that hosts may be added. */
+    private static final int MOST_HOSTS = 16;
+
+    /** Time that is left of the grace period for the process to end. */
+    private static final Duration END_MARGIN = Duration.ofMillis(700);
+
+    /** Shortest time for which a leaving host goes on answering callers that still hold connections to it. */
+    private static final Duration LEAST_DRAIN = Duration.ofMillis(2_500);
+
+    private static final Duration DRAIN_POLL = Duration.ofMillis(50);
+
+    private final HostSettings settings;
+    private final EventLoop loop;
+    private final MultiThreadIoEventLoopGroup group;
+    private final DecisionLog log;
+    private final Fleet fleet;
+    private final Freshness freshness;
+    private final StoreMirror mirror;
+    private final HostLease lease;
+    private final Gossip gossip;
+    private final AccountLimiter limiter;
+    private final CallService calls;
+    private final HostDirectory directory;
+    private HttpServer callerServer;
+    private HttpServer hopServer;
+    private volatile boolean leaving;
+
+    private EdgeHost(
+            HostSettings settings,
+            MultiThreadIoEventLoopGroup group,
+            DecisionLog log,
+            CallDialect dialect,
+            Function<EventLoop, AsyncStore> stores,
+            FleetDocuments documents) {
+        this.settings = settings;
+        this.group = group;
+        this.loop = (EventLoop) group.next();
+        this.log = log;
+        String name = settings.self().name();
+        AsyncStore store = stores.apply(loop);
+        this.fleet = new Fleet(loop, log, name, settings.regionOfDataCentre());
+        Duration validity = Duration.ofMillis((long) (settings.keyRevocation().toMillis() * PROOF_PART));
+        this.freshness = new Freshness(System::nanoTime, System::currentTimeMillis, validity);
+        this.mirror = new StoreMirror(store, loop, freshness, log, new MirrorListener(documents));
+        this.lease =
+                new HostLease(store, loop, log, documents.hostKey(name), settings.self().encode(), LEASE_TIME);
+        this.gossip = new Gossip(loop, fleet, log, settings.self());
+        this.limiter = new AccountLimiter(System::nanoTime, gossip);
+        int saved = Math.max(1, (int) (settings.repeatExtra() * REPEAT_PART / MOST_HOSTS));
+        this.calls = CallService.create(
+                loop,
+                dialect,
+                fleet,
+                freshness,
+                limiter,
+                log,
+                new CallService.Place(name, settings.self().region()),
+                new CallService.RepeatBound(settings.repeatRatio() * REPEAT_PART, saved));
+        this.directory = new HostDirectory(fleet, settings.self());
+    }
+
+    /**
+     * Starts a host.
+     *
+     * @param stores makes the client of the store for the host's event loop
+     * @throws IOException if an address can't be bound
+     */
+    public static EdgeHost start(
+            HostSettings settings,
+            DecisionLog log,
+            CallDialect dialect,
+            Function<EventLoop, AsyncStore> stores,
+            FleetDocuments documents)
+            throws IOException {
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EdgeHost host = new EdgeHost(settings, group, log, dialect, stores, documents);
+        host.begin();
+        return host;
+    }
+
+    private void begin() throws IOException {
+        callerServer = HttpServer.open(settings.callers(), group, calls.forCallers());
+        InetSocketAddress hop = new InetSocketAddress(
+                settings.self().address(), settings.self().hopPort());
+        hopServer = HttpServer.open(hop, group, calls.forHosts());
+        gossip.start(limiter);
+        fleet.onConfiguration(next -> {
+            limiter.configure(next);
+            callerServer.limit(next.limits());
+            hopServer.limit(hopLimits(next.limits()));
+        });
+        loop.execute(() -> {
+            mirror.start();
+            lease.start();
+        });
+        loop.scheduleAtFixedRate(
+                this::keepHouse, HOUSEKEEPING.toMillis(), HOUSEKEEPING.toMillis(), TimeUnit.MILLISECONDS);
+        log.belief(
+                "host_started",
+                "host",
+                settings.self().name(),
+                "region",
+                settings.self().region(),
+                "incarnation",
+                settings.self().incarnation());
+    }
+
+    /** Hosts add headers of their own to a caller's, and keep connections longer. */
+    private static CallerLimits hopLimits(CallerLimits limits) {
+        return new CallerLimits(
+                2 * limits.maxHeaderBytes(), limits.maxBodyBytes(), limits.headerTime(), limits.idleTime());
+    }
+
+    private void keepHouse() {
+        if (!freshness.checkClocks()) {
+            log.belief("clocks_disagree", "action", "asking the store anew");
+            mirror.restart();
+        }
+        fleet.closeExpiredConnections();
+    }
+
+    /**
+     * Listens on one more address, with the host's event loop.
+     *
+     * @throws IOException if it can't be bound
+     */
+    public HttpServer listen(InetSocketAddress address, RequestHandler handler) throws IOException {
+        return HttpServer.open(address, group, handler);
+    }
+
+    /** Returns whether callers should be sent here: a configuration is in force, and the host isn't leaving. */
+    public boolean isReady() {
+        return !leaving && fleet.configuration().isPresent();
+    }
+
+    /** Returns the directory of hosts. */
+    public HostDirectory directory() {
+        return directory;
+    }
+
+    /**
+     * Stops gracefully: callers are sent elsewhere at once, running requests end, and connections that callers keep are
+     * closed with their next answers. Returns when nothing runs any more, or shortly before the grace period ends.
+     */
+    public void stop() {
+        if (leaving) {
+            return;
+        }
+        leaving = true;
+        long start = System.nanoTime();
+        log.belief("host_stopping", "host", settings.self().name());
+        loop.execute(() -> {
+            directory.leave();
+            lease.end();
+            callerServer.leave();
+        });
+        long most = settings.gracePeriod().minus(END_MARGIN).toNanos();
+        boolean done = false;
+        while (!done && System.nanoTime() - start < most) {
+            pause();
+            done = System.nanoTime() - start > LEAST_DRAIN.toNanos() && busyConnections() == 0;
+        }
+        log.belief(
+                "host_stopped",
+                "host",
+                settings.self().name(),
+                "drained",
+                done,
+                "after_ms",
+                (System.nanoTime() - start) / 1_000_000);
+    }
+
+    private long busyConnections() {
+        CountDownLatch answered = new CountDownLatch(1);
+        long[] busy = {0};
+        loop.execute(() -> {
+            busy[0] = callerServer.busyConnections() + hopServer.busyConnections();
+            answered.countDown();
+        });
+        try {
+            answered.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return busy[0];
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(DRAIN_POLL.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Passes the store's contents on to the fleet. */
+    private final class MirrorListener implements StoreMirror.Listener {
+
+        private final FleetDocuments documents;
+
+        private MirrorListener(FleetDocuments documents) {
+            this.documents = documents;
+        }
+
+        @Override
+        public void changed(String key, Optional<byte[]> value, long revision) {
+            documents.read(key, value, fleet);
+        }
+
+        @Override
+        public void synced() {
+            // Each key has been told by itself.
+        }
+
+        @Override
+        public void reachable(boolean nowReachable) {
+            if (nowReachable) {
+                fleet.storeReturned();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostDirectory.java
@@ -0,0 +1,86 @@
+package org.toucanlane.edge.host;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.toucanlane.domain.serving.ServingRoute;
+import org.toucanlane.edge.fleet.Fleet;
+import org.toucanlane.edge.fleet.HostHandle;
+import org.toucanlane.edge.fleet.HostRecord;
+
+/**
+ * Tells callers which hosts to use: those of the caller's region, or else of a region in which all routes of the host
+ * name may run.
+ *
+ * <p>A host is named as long as its lease stands, unless it reports to its neighbours no longer. Used on the host's event
+ * loop only.
+ */
+public final class HostDirectory {
+
+    /** Silence of a neighbour after which callers aren't sent to it: several rounds of reports. */
+    private static final Duration SILENCE = Duration.ofMillis(1_200);
+
+    /** Addresses in one answer, which bounds its size. */
+    private static final int MOST_ADDRESSES = 64;
+
+    private final Fleet fleet;
+    private final HostRecord self;
+    private boolean leaving;
+
+    HostDirectory(Fleet fleet, HostRecord self) {
+        this.fleet = fleet;
+        this.self = self;
+    }
+
+    /** Leaves this host out of all answers from now on. */
+    void leave() {
+        leaving = true;
+    }
+
+    /** Returns the hosts for a caller of {@code region} that asks for {@code hostName}; empty if none is known. */
+    public List<HostRecord> hostsFor(String hostName, String region) {
+        long now = System.nanoTime();
+        List<HostRecord> near = pick(host -> host.region().equals(region), now);
+        if (!near.isEmpty()) {
+            return near;
+        }
+        Set<String> homes = commonRegions(hostName);
+        List<HostRecord> allowed = pick(host -> homes.isEmpty() || homes.contains(host.region()), now);
+        return allowed.isEmpty() ? pick(host -> true, now) : allowed;
+    }
+
+    private List<HostRecord> pick(Predicate<HostRecord> wanted, long now) {
+        List<HostRecord> chosen = new ArrayList<>();
+        if (!leaving && wanted.test(self)) {
+            chosen.add(self);
+        }
+        fleet.hosts().stream()
+                .filter(host -> wanted.test(host.entry()) && !isLost(host, now))
+                .map(HostHandle::entry)
+                .limit(MOST_ADDRESSES - 1L)
+                .forEach(chosen::add);
+        return chosen;
+    }
+
+    /** A neighbour that has fallen silent is not there for callers of its region either; far silence may be a cut. */
+    private boolean isLost(HostHandle host, long now) {
+        return host.entry().region().equals(self.region()) && host.hasFallenSilent(now, SILENCE.toNanos());
+    }
+
+    private Set<String> commonRegions(String hostName) {
+        Set<String> common = new HashSet<>();
+        fleet.configuration().ifPresent(configuration -> {
+            for (ServingRoute route : configuration.routesOf(hostName)) {
+                if (!route.regions().isEmpty() && common.isEmpty()) {
+                    common.addAll(route.regions());
+                } else if (!route.regions().isEmpty()) {
+                    common.retainAll(route.regions());
+                }
+            }
+        });
+        return common;
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -0,0 +1,336 @@
+package org.toucanlane.edge.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * One connection of an {@link HttpServer}: reads requests whole and answers them in turn.
+ *
+ * <p>Invariant: at most one request of the connection is being answered; what arrives meanwhile waits unread in
+ * {@code pending}. Used on one event loop only.
+ */
+final class ServerChannelHandler extends ChannelInboundHandlerAdapter {
+
+    /** Messages of later requests that may wait before reading stops: enough for a few pipelined requests. */
+    private static final int MAX_PENDING = 64;
+
+    private final HttpServer server;
+    private final Deque<HttpObject> pending = new ArrayDeque<>();
+    private ChannelHandlerContext context;
+    private HttpRequest head;
+    private ByteBuf body;
+    private ChannelResponder answering;
+    private boolean rejected;
+    private long lastActivity = System.nanoTime();
+
+    ServerChannelHandler(HttpServer server) {
+        this.server = server;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        server.opened(this);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        lastActivity = System.nanoTime();
+        if (answering != null) {
+            pending.addLast((HttpObject) message);
+            if (pending.size() >= MAX_PENDING) {
+                ctx.channel().config().setAutoRead(false);
+            }
+        } else {
+            read((HttpObject) message);
+        }
+    }
+
+    private void read(HttpObject message) {
+        try {
+            if (rejected) {
+                return;
+            }
+            if (message.decoderResult().isFailure()) {
+                reject(reasonOf(message.decoderResult().cause()));
+                return;
+            }
+            if (message instanceof HttpRequest request) {
+                readHead(request);
+            }
+            if (message instanceof HttpContent content && head != null) {
+                readContent(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private static ServerRejection.Reason reasonOf(Throwable cause) {
+        return cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException
+                ? ServerRejection.Reason.HEAD_TOO_LONG
+                : ServerRejection.Reason.MALFORMED;
+    }
+
+    private void readHead(HttpRequest request) {
+        if (HttpUtil.isContentLengthSet(request) && HttpUtil.isTransferEncodingChunked(request)) {
+            reject(ServerRejection.Reason.MALFORMED);
+            return;
+        }
+        long length = HttpUtil.getContentLength(request, 0L);
+        if (length > server.maxBodyBytes()) {
+            reject(ServerRejection.Reason.BODY_TOO_LONG);
+            return;
+        }
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+        head = request;
+        body = length == 0 ? Unpooled.EMPTY_BUFFER : context.alloc().buffer((int) length);
+    }
+
+    private void readContent(HttpContent content) {
+        ByteBuf bytes = content.content();
+        if (body.readableBytes() + bytes.readableBytes() > server.maxBodyBytes()) {
+            reject(ServerRejection.Reason.BODY_TOO_LONG);
+            return;
+        }
+        if (bytes.isReadable()) {
+            if (body == Unpooled.EMPTY_BUFFER) {
+                body = context.alloc().buffer(bytes.readableBytes());
+            }
+            body.writeBytes(bytes);
+        }
+        if (content instanceof LastHttpContent) {
+            dispatch();
+        }
+    }
+
+    private void dispatch() {
+        HttpRequest request = head;
+        ByteBuf whole = body;
+        head = null;
+        body = null;
+        answering = new ChannelResponder(HttpUtil.isKeepAlive(request));
+        server.handler().handle(new InboundRequest(request, whole, answering, System.nanoTime()));
+    }
+
+    private void reject(ServerRejection.Reason reason) {
+        rejected = true;
+        dropBody();
+        ServerRejection rejection = server.handler().rejectionOf(reason);
+        ByteBuf text = Unpooled.copiedBuffer(rejection.body(), StandardCharsets.UTF_8);
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(rejection.status()), text);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private void dropBody() {
+        ReferenceCountUtil.release(body);
+        body = null;
+        head = null;
+    }
+
+    private void answered(boolean keep) {
+        answering = null;
+        lastActivity = System.nanoTime();
+        if (!keep) {
+            rejected = true;
+            return;
+        }
+        while (answering == null && !pending.isEmpty()) {
+            read(pending.pollFirst());
+        }
+        if (pending.isEmpty() && !context.channel().config().isAutoRead()) {
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
+    /** Closes the connection if its caller has been idle, or has not finished a request, for too long. */
+    void closeIfExpired(long now) {
+        boolean reading = head != null;
+        long bound = reading ? server.bodyNanos() : server.idleNanos();
+        if (answering != null || now - lastActivity < bound) {
+            return;
+        }
+        if (reading) {
+            reject(ServerRejection.Reason.TOO_SLOW);
+        } else {
+            context.close();
+        }
+    }
+
+    /** Closes the connection unless a request is being read or answered. */
+    void closeIfIdle() {
+        if (answering == null && head == null) {
+            context.close();
+        }
+    }
+
+    boolean isBusy() {
+        return answering != null || head != null;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        server.closed(this);
+        dropBody();
+        pending.forEach(ReferenceCountUtil::release);
+        pending.clear();
+        ChannelResponder gone = answering;
+        answering = null;
+        if (gone != null) {
+            gone.callerGone();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (answering != null && answering.listener != null) {
+            answering.listener.writabilityChanged(ctx.channel().isWritable());
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+
+    /** Writes one answer. */
+    private final class ChannelResponder implements Responder {
+
+        private final boolean keepAlive;
+        private Listener listener;
+        private boolean ended;
+        private boolean closeAfter;
+
+        private ChannelResponder(boolean keepAlive) {
+            this.keepAlive = keepAlive;
+        }
+
+        @Override
+        public void respond(FullHttpResponse response) {
+            if (!takeEnd()) {
+                response.release();
+                return;
+            }
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+            setConnection(response.headers());
+            end(context.writeAndFlush(response));
+        }
+
+        @Override
+        public void begin(HttpResponse response, ByteBuf first) {
+            if (ended || !isOpen()) {
+                first.release();
+                return;
+            }
+            if (!HttpUtil.isContentLengthSet(response)) {
+                HttpUtil.setTransferEncodingChunked(response, true);
+            }
+            setConnection(response.headers());
+            context.write(response);
+            send(first);
+        }
+
+        private void setConnection(HttpHeaders headers) {
+            closeAfter = !keepAlive || server.isLeaving();
+            if (closeAfter) {
+                headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+        }
+
+        @Override
+        public void send(ByteBuf content) {
+            if (ended || !isOpen()) {
+                content.release();
+            } else if (content.isReadable()) {
+                context.writeAndFlush(new DefaultHttpContent(content));
+            } else {
+                content.release();
+                context.flush();
+            }
+        }
+
+        @Override
+        public void finish() {
+            if (takeEnd()) {
+                end(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+            }
+        }
+
+        private boolean takeEnd() {
+            boolean first = !ended && isOpen();
+            ended = true;
+            return first;
+        }
+
+        private void end(ChannelFuture written) {
+            if (closeAfter) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+            answered(!closeAfter);
+        }
+
+        @Override
+        public void abort() {
+            if (takeEnd()) {
+                answered(false);
+                context.close();
+            }
+        }
+
+        @Override
+        public boolean isWritable() {
+            return context.channel().isWritable();
+        }
+
+        @Override
+        public boolean isOpen() {
+            return context.channel().isActive();
+        }
+
+        @Override
+        public void listen(Listener value) {
+            listener = value;
+        }
+
+        private void callerGone() {
+            if (!ended && listener != null) {
+                ended = true;
+                listener.callerGone();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Limits of client accounts on this host. */
+package org.toucanlane.edge.limit;
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
@@ -0,0 +1,221 @@
+package org.toucanlane.edge.state;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.toucanlane.coordination.store.AsyncStore;
+import org.toucanlane.coordination.store.AsyncStoreException;
+import org.toucanlane.coordination.store.StoreChanges;
+import org.toucanlane.coordination.store.StoreItem;
+import org.toucanlane.coordination.store.StorePage;
+import org.toucanlane.edge.telemetry.DecisionLog;
+
+/**
+ * Keeps a copy of the store's keys by reading them once and then watching for changes.
+ *
+ * <p>A watch that returns proves that nothing older than its sending is missing, so it also renews the
+ * {@link Freshness} of the copy. When the history that a watch needs is gone, everything is read anew and compared.
+ * While the store is away, the copy stays as it is. Used on one event loop only.
+ */
+public final class StoreMirror {
+
+    /** How long a watch waits for a change; bounds the age of the proof that it brings. */
+    private static final Duration WATCH_TIME = Duration.ofMillis(1_000);
+
+    /** Pause after a failed call; short against the time that a proof lasts, long against the store's rates. */
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(250);
+
+    private final AsyncStore store;
+    private final ScheduledExecutorService loop;
+    private final Freshness freshness;
+    private final DecisionLog log;
+    private final Listener listener;
+    private final Map<String, Long> revisions = new HashMap<>();
+    private long revision;
+    private boolean reachable;
+    private boolean synced;
+    private long generation;
+
+    /** Creates a mirror that has read nothing; {@link #start} makes it begin. */
+    public StoreMirror(
+            AsyncStore store,
+            ScheduledExecutorService loop,
+            Freshness freshness,
+            DecisionLog log,
+            Listener listener) {
+        this.store = store;
+        this.loop = loop;
+        this.freshness = freshness;
+        this.log = log;
+        this.listener = listener;
+    }
+
+    /** Begins to read and to watch. */
+    public void start() {
+        generation++;
+        readAll(generation, System.nanoTime(), "", new HashSet<>(), 0);
+    }
+
+    /** Asks the store anew at once, after the clocks have shown that this process was suspended. */
+    public void restart() {
+        generation++;
+        if (synced) {
+            watch(generation, Duration.ofMillis(1));
+        } else {
+            start();
+        }
+    }
+
+    private void readAll(long round, long sentAt, String after, Set<String> seen, long firstRevision) {
+        store.range("", after).whenComplete((page, failure) -> {
+            if (round != generation) {
+                return;
+            }
+            if (failure != null) {
+                failed(failure);
+                retry(round, this::start);
+                return;
+            }
+            takePage(page, seen);
+            long from = firstRevision == 0 ? page.revision() : firstRevision;
+            if (page.hasMore() && !page.items().isEmpty()) {
+                String last = page.items().get(page.items().size() - 1).key();
+                readAll(round, sentAt, last, seen, from);
+            } else {
+                synced(round, sentAt, seen, from);
+            }
+        });
+    }
+
+    private void takePage(StorePage page, Set<String> seen) {
+        page.items().forEach(item -> {
+            seen.add(item.key());
+            put(item);
+        });
+    }
+
+    private void synced(long round, long sentAt, Set<String> seen, long from) {
+        reached();
+        Set<String> gone = new HashSet<>(revisions.keySet());
+        gone.removeAll(seen);
+        gone.forEach(this::remove);
+        revision = from;
+        synced = true;
+        freshness.prove(sentAt);
+        log.belief("store_read", "keys", seen.size(), "revision", from);
+        listener.synced();
+        watch(round, WATCH_TIME);
+    }
+
+    private void watch(long round, Duration wait) {
+        long sentAt = System.nanoTime();
+        store.watch("", revision, wait).whenComplete((changes, failure) -> {
+            if (round != generation) {
+                return;
+            }
+            if (failure == null) {
+                reached();
+                apply(changes);
+                freshness.prove(sentAt);
+                watch(round, WATCH_TIME);
+            } else if (reasonOf(failure) == AsyncStoreException.Reason.COMPACTED) {
+                log.belief("store_history_gone", "revision", revision);
+                start();
+            } else {
+                failed(failure);
+                retry(round, () -> watch(round, WATCH_TIME));
+            }
+        });
+    }
+
+    private void apply(StoreChanges changes) {
+        for (StoreChanges.Change change : changes.changes()) {
+            if (change.revision() > revision) {
+                change.item().ifPresentOrElse(this::put, () -> remove(change.key()));
+            }
+        }
+        revision = Math.max(revision, changes.revision());
+    }
+
+    private void put(StoreItem item) {
+        Long known = revisions.get(item.key());
+        if (known == null || known < item.revision()) {
+            revisions.put(item.key(), item.revision());
+            listener.changed(item.key(), Optional.of(item.value()), item.revision());
+        }
+    }
+
+    private void remove(String key) {
+        if (revisions.remove(key) != null) {
+            listener.changed(key, Optional.empty(), revision);
+        }
+    }
+
+    private void reached() {
+        if (!reachable) {
+            reachable = true;
+            log.belief("store_regained", "revision", revision);
+            listener.reachable(true);
+        }
+    }
+
+    private void failed(Throwable failure) {
+        if (reachable || !synced) {
+            log.belief("store_lost", "reason", String.valueOf(unwrap(failure)), "proof_age_ms", freshness.ageMillis());
+        }
+        if (reachable) {
+            reachable = false;
+            listener.reachable(false);
+        }
+    }
+
+    private void retry(long round, Runnable action) {
+        loop.schedule(
+                () -> {
+                    if (round == generation) {
+                        action.run();
+                    }
+                },
+                RETRY_PAUSE.toMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    private static Throwable unwrap(Throwable failure) {
+        return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+    }
+
+    private static AsyncStoreException.Reason reasonOf(Throwable failure) {
+        return unwrap(failure) instanceof AsyncStoreException known
+                ? known.reason()
+                : AsyncStoreException.Reason.UNAVAILABLE;
+    }
+
+    /** Returns the revision up to which the copy is complete. */
+    public long revision() {
+        return revision;
+    }
+
+    /** Returns whether the last call was answered. */
+    public boolean isReachable() {
+        return reachable;
+    }
+
+    /** Hears of changes of the copy. */
+    public interface Listener {
+
+        /** A key has another value, or was removed. */
+        void changed(String key, Optional<byte[]> value, long revision);
+
+        /** Everything has been read. */
+        void synced();
+
+        /** The store can be reached again, or no longer. */
+        void reachable(boolean nowReachable);
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Logs and metrics of a host. */
+package org.toucanlane.edge.telemetry;
--- /dev/null
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/EndpointPlacer.java
@@ -0,0 +1,70 @@
+package org.toucanlane.policy.placement;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.toucanlane.coordination.hash.RendezvousHash;
+
+/**
+ * Chooses the endpoint whose answer is expected first.
+ *
+ * <p>Load pattern: many requests that share long prompt prefixes, at a rate at which reading every prefix anew would
+ * exceed the engines. An endpoint that keeps the prefix has less to read, so requests stay with it until its backlog
+ * costs more than reading the prefix elsewhere. Where nothing is known of a prefix, endpoints that are about equally
+ * fast are ranked by rendezvous hash, so that all hosts choose alike without talking.
+ *
+ * <p>The same input and the same random sequence give the same choice. Immutable and thread-safe.
+ */
+public final class EndpointPlacer {
+
+    /** Part of the time to read the shared prefix by which a ranked endpoint may be slower than the fastest. */
+    private static final double AFFINITY_TOLERANCE = 0.5;
+
+    /** Milliseconds of difference that are no reason to prefer an endpoint; below the error of the estimate. */
+    private static final double INDIFFERENCE_MILLIS = 4;
+
+    /** Milliseconds that a failed request costs its caller: a repeat after a short pause. */
+    private static final double FAILURE_MILLIS = 1_000;
+
+    private EndpointPlacer() {}
+
+    /**
+     * Returns the choice among {@code candidates}, or empty if there are none.
+     *
+     * @param affinity hash of the shared start of the prompt, or 0 if there is none
+     */
+    public static Optional<Placement> choose(
+            List<PlacementCandidate> candidates, PromptSize size, long affinity, RandomGenerator random) {
+        List<Scored> scored =
+                candidates.stream().map(candidate -> score(candidate, size)).toList();
+        double best = scored.stream().mapToDouble(Scored::cost).min().orElse(0);
+        double tolerance = INDIFFERENCE_MILLIS
+                + (affinity == 0 ? 0 : AFFINITY_TOLERANCE * size.sharedTokens() / AnswerEstimate.TOKENS_PER_MILLI);
+        List<Scored> close = scored.stream()
+                .filter(entry -> entry.cost() <= best + tolerance)
+                .toList();
+        if (close.isEmpty()) {
+            return Optional.empty();
+        }
+        Scored chosen = affinity == 0 ? close.get(random.nextInt(close.size())) : ranked(close, affinity);
+        return Optional.of(chosen.placement());
+    }
+
+    private static Scored ranked(List<Scored> close, long affinity) {
+        return close.stream()
+                .max(Comparator.comparingLong(
+                        entry -> RendezvousHash.weight(affinity, entry.load().idHash())))
+                .orElseThrow();
+    }
+
+    private static Scored score(PlacementCandidate candidate, PromptSize size) {
+        long newTokens = Math.max(0, size.promptTokens() - candidate.cachedTokens());
+        EndpointLoad load = candidate.load();
+        double estimate = AnswerEstimate.millis(load, newTokens, newTokens + size.outputTokens());
+        double cost = estimate + load.failureRate() * FAILURE_MILLIS;
+        return new Scored(load, new Placement(load.id(), estimate, newTokens), cost);
+    }
+
+    private record Scored(EndpointLoad load, Placement placement, double cost) {}
+}
--- /dev/null
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/retry/RepeatRule.java
@@ -0,0 +1,54 @@
+package org.toucanlane.policy.retry;
+
+import java.time.Duration;
+
+/**
+ * Whether a request that failed at one endpoint is sent to another.
+ *
+ * <p>Load pattern: endpoints that fail part of their requests, or refuse them while they are full. A repeat helps while
+ * others have room, and multiplies an overload when none has; so every repeat that may reach an endpoint comes out of a
+ * budget. A request that may have run is sent again only if running it twice does no harm. Stateless and thread-safe.
+ */
+public final class RepeatRule {
+
+    /** Time that must be left for a repeat to be worth sending. */
+    private static final Duration LEAST_TIME = Duration.ofMillis(60);
+
+    /** Endpoints that may refuse one request before it is given up: the second is chosen with newer knowledge. */
+    private static final int MOST_REFUSALS = 2;
+
+    private RepeatRule() {}
+
+    /** Returns whether to send the request to another endpoint. The budget is asked only where all else allows it. */
+    public static boolean allows(Failure failure, RetryBudget budget) {
+        if (failure.timeLeft().compareTo(LEAST_TIME) < 0) {
+            return false;
+        }
+        return switch (failure.kind()) {
+            case NOT_SENT -> failure.refusals() < MOST_REFUSALS;
+            case REFUSED -> failure.refusals() < MOST_REFUSALS && budget.spend();
+            case MAY_HAVE_RUN -> failure.repeatable() && failure.endpointsLeft() > 0 && budget.spend();
+        };
+    }
+
+    /**
+     * A failed attempt.
+     *
+     * @param kind how far it came
+     * @param repeatable whether running the request twice does no harm
+     * @param endpointsLeft endpoints to which it may still be sent
+     * @param refusals attempts that did not run before this one
+     * @param timeLeft time until the caller gets its last answer
+     */
+    public record Failure(Kind kind, boolean repeatable, int endpointsLeft, int refusals, Duration timeLeft) {}
+
+    /** How far a failed attempt came. */
+    public enum Kind {
+        /** No byte reached an endpoint. */
+        NOT_SENT,
+        /** An endpoint vouches that it did not run the request. */
+        REFUSED,
+        /** Nothing is known, or the endpoint ran the request and failed. */
+        MAY_HAVE_RUN
+    }
+}
