Test the new path: decisions with the loads they answer, and one host between real sockets

Found by the tests: entries that can't be read were held for two seconds like lapsed ones after a start; with a short revocation time a watch lasted longer than the proof that it renews, so keyed requests flickered between 200 and 503; a stopping host said that it was not ready before it asked callers to leave. All three mended, each with its test. Also: callers are sent away for longer the longer an overload lasts; 95% of a burst and a smaller even part of limits are used.

--- a/toucanlane-domain/src/main/java/org/toucanlane/domain/serving/ServingConfiguration.java
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/serving/ServingConfiguration.java
@@ -33,8 +33,8 @@
             CallerLimits limits) {
         this.version = version;
         this.routesByHost = routes.stream()
-                .sorted(Comparator.comparingInt((ServingRoute route) ->
-                        -route.pathPrefix().length()))
+                .sorted(Comparator.comparingInt(
+                        (ServingRoute route) -> -route.pathPrefix().length()))
                 .collect(ImmutableListMultimap.toImmutableListMultimap(
                         route -> route.host().toLowerCase(Locale.ROOT), route -> route));
         this.services = services.stream()
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
@@ -62,16 +62,15 @@
     @Override
     public boolean head(HttpResponse response) {
         EndpointReply next = dialect.readReply(response);
-        if (next.callId().isPresent() && !next.callId().get().equals(admitted.head().id())) {
+        if (next.callId().isPresent()
+                && !next.callId().get().equals(admitted.head().id())) {
             return false;
         }
         upstream.progressed();
         head = response;
         reply = next;
         refusal = upstream.refusalOf(response);
-        streaming = admitted.route().kind() == CallKind.STREAM
-                && next.isSuccess()
-                && next.vouched();
+        streaming = admitted.route().kind() == CallKind.STREAM && next.isSuccess() && next.vouched();
         return true;
     }
 
@@ -162,8 +161,7 @@
         }
         end(Reservation.Result.FAILED);
         listener.failed(
-                stage == Stage.NOT_SENT ? RepeatRule.Kind.NOT_SENT : RepeatRule.Kind.MAY_HAVE_RUN,
-                stage + " " + cause);
+                stage == Stage.NOT_SENT ? RepeatRule.Kind.NOT_SENT : RepeatRule.Kind.MAY_HAVE_RUN, stage + " " + cause);
     }
 
     private void end(Reservation.Result result) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -71,7 +71,8 @@
         try {
             lastEvent = Long.parseLong(id);
         } catch (NumberFormatException e) {
-            services.log().decision("resume_id_ignored", "request", admitted.head().id(), "id", id);
+            services.log()
+                    .decision("resume_id_ignored", "request", admitted.head().id(), "id", id);
         }
     }
 
@@ -254,8 +255,8 @@
         if (kind == RepeatRule.Kind.MAY_HAVE_RUN) {
             endpointsLeft = host ? 0 : endpointsLeft - 1;
         }
-        RepeatRule.Failure failure = new RepeatRule.Failure(
-                kind, admitted.route().isRepeatable(), endpointsLeft, refusals, timeLeft());
+        RepeatRule.Failure failure =
+                new RepeatRule.Failure(kind, admitted.route().isRepeatable(), endpointsLeft, refusals, timeLeft());
         if (kind != RepeatRule.Kind.MAY_HAVE_RUN) {
             refusals++;
         }
@@ -294,7 +295,8 @@
     private void giveUp(ErrorKind kind, Duration retryAfter, String detail) {
         lastCause = detail;
         FullHttpResponse response = services.dialect()
-                .refuse(new Refusal(kind, retryAfter, Optional.of(admitted.head().id()), detail));
+                .refuse(new Refusal(
+                        kind, retryAfter, Optional.of(admitted.head().id()), detail));
         if (admitted.fromHost().isPresent()) {
             HopHeaders.markRefusal(response.headers(), kind);
         }
@@ -329,7 +331,9 @@
         ended = true;
         deadline.cancel(false);
         inbound.body().release();
-        String upstream = attempts.isEmpty() ? "" : attempts.get(attempts.size() - 1).upstream().name();
+        String upstream = attempts.isEmpty()
+                ? ""
+                : attempts.get(attempts.size() - 1).upstream().name();
         attempts.forEach(Attempt::release);
         services.log()
                 .decision(
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.Sets;
 import io.netty.handler.codec.http.HttpRequest;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.toucanlane.coordination.hash.RendezvousHash;
@@ -36,10 +37,10 @@
     private final AccountLimiter limiter;
     private final CallDialect dialect;
 
-    CallAdmission(Fleet fleet, Freshness freshness, AccountLimiter limiter, CallDialect dialect) {
-        this.fleet = fleet;
-        this.freshness = freshness;
-        this.limiter = limiter;
+    CallAdmission(CallService.View view, CallDialect dialect) {
+        this.fleet = view.fleet();
+        this.freshness = view.freshness();
+        this.limiter = view.limiter();
         this.dialect = dialect;
     }
 
@@ -56,7 +57,16 @@
         if (account.isPresent()) {
             Optional<Duration> wait = limiter.charge(account.get(), cost);
             if (wait.isPresent()) {
-                throw new CallRefusedException(ErrorKind.RATE_LIMITED, wait.get(), "the account's limit is used up");
+                String name = account.get().name();
+                throw new CallRefusedException(
+                        ErrorKind.RATE_LIMITED,
+                        wait.get(),
+                        String.format(
+                                Locale.ROOT,
+                                "account %s has used up this host's part of its limit, %.3f; it asked for %d",
+                                name,
+                                limiter.shareOf(name),
+                                cost));
             }
         }
         return new AdmittedCall(
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -30,6 +30,7 @@
     /**
      * Creates the service of one host.
      *
+     * @param view what the host knows
      * @param place name and region of the host
      * @param repeats bound on repeats
      * @param sent hears which endpoint was sent which parts of a prompt
@@ -37,24 +38,22 @@
     public static CallService create(
             EventLoop loop,
             CallDialect dialect,
-            Fleet fleet,
-            Freshness freshness,
-            AccountLimiter limiter,
+            View view,
             DecisionLog log,
             Place place,
             RepeatBound repeats,
             BiConsumer<String, List<CachedPart>> sent) {
-        Router router = new Router(fleet, place.region(), RandomGenerator.of("L64X128MixRandom"));
+        Router router = new Router(view.fleet(), place.region(), RandomGenerator.of("L64X128MixRandom"));
         CallServices services = new CallServices(
                 loop,
                 dialect,
                 router,
-                limiter,
+                view.limiter(),
                 new CallServices.Budgets(repeats.perCall(), repeats.saved()),
                 sent,
                 log,
                 place.host());
-        return new CallService(services, new CallAdmission(fleet, freshness, limiter, dialect));
+        return new CallService(services, new CallAdmission(view, dialect));
     }
 
     /** Returns the handler of callers' requests. */
@@ -102,10 +101,18 @@
 
     /** Admits one request. */
     private interface Admitter {
-        AdmittedCall admit(HttpRequest request, CallHead head, long receivedAt)
-                throws CallRefusedException;
+        AdmittedCall admit(HttpRequest request, CallHead head, long receivedAt) throws CallRefusedException;
     }
 
+    /**
+     * What a host knows.
+     *
+     * @param fleet configuration, endpoints and hosts
+     * @param freshness how long it may rely on that
+     * @param limiter limits of accounts
+     */
+    public record View(Fleet fleet, Freshness freshness, AccountLimiter limiter) {}
+
     /**
      * Where this host is.
      *
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointReply.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointReply.java
@@ -12,11 +12,7 @@
  * @param vouched whether the endpoint has marked the answer as its own
  */
 public record EndpointReply(
-        int status,
-        Optional<String> callId,
-        boolean notRun,
-        boolean otherEndpoint,
-        boolean vouched) {
+        int status, Optional<String> callId, boolean notRun, boolean otherEndpoint, boolean vouched) {
 
     /** Returns whether the status is one of success. */
     public boolean isSuccess() {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Prompt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Prompt.java
@@ -18,7 +18,10 @@
     /** Creates a prompt. */
     public Prompt {
         Preconditions.checkArgument(
-                promptTokens >= 0 && outputTokens >= 0, "token counts must not be negative: %s, %s", promptTokens, outputTokens);
+                promptTokens >= 0 && outputTokens >= 0,
+                "token counts must not be negative: %s, %s",
+                promptTokens,
+                outputTokens);
         parts = List.copyOf(parts);
     }
 
@@ -38,6 +41,8 @@
 
     /** Returns a hash of the shared start, or 0 if nothing is shared. */
     public long affinity() {
-        return parts.size() < 2 ? 0 : RendezvousHash.hash(parts.get(parts.size() - 2).id());
+        return parts.size() < 2
+                ? 0
+                : RendezvousHash.hash(parts.get(parts.size() - 2).id());
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -48,6 +48,7 @@
     private final Fleet fleet;
     private final String region;
     private final RandomGenerator random;
+    private final OverloadSpell overload = new OverloadSpell();
 
     Router(Fleet fleet, String region, RandomGenerator random) {
         this.fleet = fleet;
@@ -71,21 +72,22 @@
             throw refusal(call, now);
         }
         boolean stay = here.isPresent()
-                && (away.isEmpty()
-                        || here.get().estimateMillis() <= away.get().estimateMillis() + LEAVE_MARGIN_MILLIS);
+                && (away.isEmpty() || here.get().estimateMillis() <= away.get().estimateMillis() + LEAVE_MARGIN_MILLIS);
         Destination best = stay ? here.get() : away.get();
         refuseIfLate(call, best.estimateMillis());
         return best;
     }
 
-    private static void refuseIfLate(AdmittedCall call, double estimateMillis) throws CallRefusedException {
+    private void refuseIfLate(AdmittedCall call, double estimateMillis) throws CallRefusedException {
         double own = call.head().prompt().map(Prompt::promptTokens).orElse(0L) / AnswerEstimate.TOKENS_PER_MILLI;
         Optional<Duration> wait = OverloadRule.refuse(
                 estimateMillis,
                 Math.min(own, estimateMillis),
                 call.route().objective(),
-                call.priority().orElse(0));
+                call.priority().orElse(0),
+                overload.lasting(call.service(), System.nanoTime()));
         if (wait.isPresent()) {
+            overload.refused(call.service(), System.nanoTime());
             throw new CallRefusedException(
                     ErrorKind.OVERLOADED,
                     wait.get(),
@@ -98,7 +100,8 @@
                 .anyMatch(endpoint -> isHere(endpoint) && endpoint.isUsable(now) && endpoint.isCold(now));
         return allCold
                 ? new CallRefusedException(ErrorKind.OVERLOADED, COLD_RETRY, "all endpoints have just started")
-                : new CallRefusedException(ErrorKind.NO_ENDPOINT, NO_ENDPOINT_RETRY, "no endpoint can take the request");
+                : new CallRefusedException(
+                        ErrorKind.NO_ENDPOINT, NO_ENDPOINT_RETRY, "no endpoint can take the request");
     }
 
     private boolean isHere(EndpointHandle endpoint) {
@@ -114,15 +117,16 @@
                     && !tried.contains(endpoint.id())
                     && !fleet.isEvacuated(endpoint.entry().dataCentre())
                     && hasColdRoom(endpoint, call, now)) {
-                long cached = prompt.map(size -> endpoint.cachedTokensOf(size.parts())).orElse(0L);
+                long cached = prompt.map(size -> endpoint.cachedTokensOf(size.parts()))
+                        .orElse(0L);
                 candidates.add(new PlacementCandidate(endpoint.load(now), cached));
             }
         }
         PromptSize size = prompt.map(Prompt::size).orElse(PromptSize.NONE);
         long affinity = prompt.map(Prompt::affinity).orElse(0L);
         return EndpointPlacer.choose(candidates, size, affinity, random)
-                .flatMap(placement -> fleet.endpoint(placement.id())
-                        .map(endpoint -> new Destination.Local(endpoint, placement)));
+                .flatMap(placement ->
+                        fleet.endpoint(placement.id()).map(endpoint -> new Destination.Local(endpoint, placement)));
     }
 
     private static boolean hasColdRoom(EndpointHandle endpoint, AdmittedCall call, long now) {
@@ -140,9 +144,10 @@
                 .map(ServingService::coldRequestsPerSecond)
                 .orElse(0.0);
         if (perSecond > 0) {
-            long hosts = 1 + fleet.hosts().stream()
-                    .filter(host -> host.entry().region().equals(region))
-                    .count();
+            long hosts = 1
+                    + fleet.hosts().stream()
+                            .filter(host -> host.entry().region().equals(region))
+                            .count();
             endpoint.coldSend(now, Duration.ofMillis((long) (MILLIS_PER_SECOND * hosts / perSecond)));
         }
     }
@@ -166,8 +171,8 @@
             return Optional.empty();
         }
         HostHandle host = reachable.get(random.nextInt(reachable.size()));
-        return estimateIn(call, other, now).map(placement ->
-                new Destination.Remote(host, placement.estimateMillis() + HOP_MILLIS));
+        return estimateIn(call, other, now)
+                .map(placement -> new Destination.Remote(host, placement.estimateMillis() + HOP_MILLIS));
     }
 
     /** Returns what is expected in another region. */
@@ -176,10 +181,11 @@
         long affinity = call.head().prompt().map(Prompt::affinity).orElse(0L);
         List<CachedPart> parts = call.head().prompt().map(Prompt::parts).orElse(List.of());
         List<PlacementCandidate> candidates = fleet.endpointsOf(call.service()).stream()
-                .filter(endpoint -> fleet.regionOf(endpoint.entry().dataCentre()).equals(other)
-                        && endpoint.isUsable(now)
-                        && !endpoint.isCold(now)
-                        && !fleet.isEvacuated(endpoint.entry().dataCentre()))
+                .filter(endpoint ->
+                        fleet.regionOf(endpoint.entry().dataCentre()).equals(other)
+                                && endpoint.isUsable(now)
+                                && !endpoint.isCold(now)
+                                && !fleet.isEvacuated(endpoint.entry().dataCentre()))
                 .map(endpoint -> new PlacementCandidate(endpoint.load(now), endpoint.cachedTokensOf(parts)))
                 .toList();
         return EndpointPlacer.choose(candidates, size, affinity, random);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
@@ -1,8 +1,8 @@
 package org.toucanlane.edge.fleet;
 
 import java.time.Duration;
-import java.util.LinkedHashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.toucanlane.coordination.hash.RendezvousHash;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Fleet.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Fleet.java
@@ -159,8 +159,14 @@
         EndpointHandle handle = new EndpointHandle(entry, pool, memoryOf(entry.service()));
         endpoints.put(entry.id(), handle);
         index(handle);
-        log.belief("endpoint_added", "endpoint", entry.id(), "service", entry.service(), "cold_ms", entry.coldLeft()
-                .toMillis());
+        log.belief(
+                "endpoint_added",
+                "endpoint",
+                entry.id(),
+                "service",
+                entry.service(),
+                "cold_ms",
+                entry.coldLeft().toMillis());
     }
 
     /** Removes an endpoint; at once, unless its entry may only have lapsed while the store was away. */
@@ -235,6 +241,15 @@
         });
     }
 
+    @Override
+    public void endpointUnreadable(String id, String reason) {
+        log.belief("endpoint_unreadable", "endpoint", id, "reason", reason);
+        EndpointHandle known = endpoints.get(id);
+        if (known != null) {
+            retire(known, "entry_unreadable");
+        }
+    }
+
     @Override
     public void unreadable(String key, String reason) {
         log.belief("value_unreadable", "key", key, "reason", reason);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/FleetChanges.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/FleetChanges.java
@@ -19,6 +19,9 @@
     /** A host has written {@code entry}, or has none any more. */
     void host(String name, Optional<HostRecord> entry);
 
-    /** A value can't be read; what it said before stays in force unless it names an endpoint. */
+    /** An endpoint's entry can't be read, so it names no endpoint to use. */
+    void endpointUnreadable(String id, String reason);
+
+    /** Another value can't be read; what it said before stays in force. */
     void unreadable(String key, String reason);
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Reservation.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Reservation.java
@@ -28,7 +28,11 @@
      * @param estimatedMillis expected time to the first answer
      */
     public Reservation(
-            EndpointHandle endpoint, List<CachedPart> parts, long newTokens, long neededTokens, double estimatedMillis) {
+            EndpointHandle endpoint,
+            List<CachedPart> parts,
+            long newTokens,
+            long neededTokens,
+            double estimatedMillis) {
         this.endpoint = endpoint;
         this.newTokens = newTokens;
         this.neededTokens = neededTokens;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/CachedParts.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/CachedParts.java
@@ -38,9 +38,10 @@
     /** Returns what to tell in this round, by endpoint. */
     Map<String, List<CachedPart>> toTell() {
         Map<String, List<CachedPart>> told = new HashMap<>();
-        left.keySet().stream().limit(PARTS_PER_REPORT).forEach(entry -> told.computeIfAbsent(
-                        entry.endpoint(), key -> new ArrayList<>())
-                .add(entry.part()));
+        left.keySet().stream()
+                .limit(PARTS_PER_REPORT)
+                .forEach(entry -> told.computeIfAbsent(entry.endpoint(), key -> new ArrayList<>())
+                        .add(entry.part()));
         return told;
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
@@ -76,7 +76,8 @@
      */
     public void start(AccountLimiter accounts) throws IOException {
         limiter = accounts;
-        Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new Receiver());
+        Bootstrap bootstrap =
+                new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new Receiver());
         ChannelFuture bound = bootstrap
                 .bind(new InetSocketAddress(self.address(), self.gossipPort()))
                 .awaitUninterruptibly();
@@ -102,7 +103,8 @@
     private List<LoadReport> reports() {
         Map<String, RemoteLoad> loads = new HashMap<>();
         fleet.endpoints().stream()
-                .filter(endpoint -> fleet.regionOf(endpoint.entry().dataCentre()).equals(self.region()))
+                .filter(endpoint ->
+                        fleet.regionOf(endpoint.entry().dataCentre()).equals(self.region()))
                 .filter(this::isWorthTelling)
                 .forEach(endpoint -> loads.put(endpoint.id(), endpoint.ownLoad()));
         Map<String, Double> demand = new HashMap<>();
@@ -177,8 +179,7 @@
                         demandOfHosts.put(report.host(), report.demand());
                     }
                     report.cached()
-                            .forEach((id, parts) ->
-                                    fleet.endpoint(id).ifPresent(endpoint -> endpoint.cache(parts)));
+                            .forEach((id, parts) -> fleet.endpoint(id).ifPresent(endpoint -> endpoint.cache(parts)));
                     report.endpoints()
                             .forEach((id, load) ->
                                     fleet.endpoint(id).ifPresent(endpoint -> endpoint.report(report.host(), load)));
@@ -194,8 +195,9 @@
         for (HostHandle host : fleet.hosts()) {
             if (host.isHeard(now, REPORT_AGE.toNanos())) {
                 reachable++;
-                reachableDemand +=
-                        demandOfHosts.getOrDefault(host.entry().name(), Map.of()).getOrDefault(account, 0.0);
+                reachableDemand += demandOfHosts
+                        .getOrDefault(host.entry().name(), Map.of())
+                        .getOrDefault(account, 0.0);
             }
         }
         return LimitShare.of(fleet.hosts().size() + 1, reachable, own, reachableDemand);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/LoadReport.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/LoadReport.java
@@ -86,14 +86,11 @@
             throw new IOException("not a load report");
         }
         Map<String, RemoteLoad> endpoints = new HashMap<>();
-        node.path("endpoints")
-                .properties()
-                .forEach(entry -> endpoints.put(entry.getKey(), loadOf(entry.getValue())));
+        node.path("endpoints").properties().forEach(entry -> endpoints.put(entry.getKey(), loadOf(entry.getValue())));
         Map<String, Double> demand = new HashMap<>();
         node.path("demand")
                 .properties()
-                .forEach(
-                        entry -> demand.put(entry.getKey(), entry.getValue().asDouble()));
+                .forEach(entry -> demand.put(entry.getKey(), entry.getValue().asDouble()));
         Map<String, List<CachedPart>> cached = new HashMap<>();
         node.path("cached").properties().forEach(entry -> cached.put(entry.getKey(), partsOf(entry.getValue())));
         return new LoadReport(
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import org.toucanlane.coordination.store.AsyncStore;
 import org.toucanlane.domain.serving.CallerLimits;
@@ -31,11 +32,14 @@
  * <p>A host has about one core, so one loop does all its work and its state needs no locks. {@link #stop} may be called
  * on any thread; all else belongs to the loop or to the start.
  */
-public final class EdgeHost {
+public final class EdgeHost implements AutoCloseable {
 
     /** Part of the time to revoke a key for which an answer of the store is relied on; the rest covers its delay. */
     private static final double PROOF_PART = 0.62;
 
+    /** Watches that fit into the time for which an answer is relied on, so that one may be lost. */
+    private static final int WATCHES_PER_PROOF = 3;
+
     /** How long a host's record outlives its process: two lost renewals. */
     private static final Duration LEASE_TIME = Duration.ofMillis(2_500);
 
@@ -70,6 +74,7 @@
     private final HostDirectory directory;
     private HttpServer callerServer;
     private HttpServer hopServer;
+    private final AtomicBoolean stopping = new AtomicBoolean();
     private volatile boolean leaving;
 
     private EdgeHost(
@@ -81,25 +86,24 @@
             FleetDocuments documents) {
         this.settings = settings;
         this.group = group;
-        this.loop = (EventLoop) group.next();
+        this.loop = group.next();
         this.log = log;
         String name = settings.self().name();
         AsyncStore store = stores.apply(loop);
         this.fleet = new Fleet(loop, log, name, settings.regionOfDataCentre());
         Duration validity = Duration.ofMillis((long) (settings.keyRevocation().toMillis() * PROOF_PART));
         this.freshness = new Freshness(System::nanoTime, System::currentTimeMillis, validity);
-        this.mirror = new StoreMirror(store, loop, freshness, log, new MirrorListener(documents));
-        this.lease =
-                new HostLease(store, loop, log, documents.hostKey(name), settings.self().encode(), LEASE_TIME);
+        this.mirror = new StoreMirror(
+                store, loop, freshness, log, new MirrorListener(documents), validity.dividedBy(WATCHES_PER_PROOF));
+        this.lease = new HostLease(
+                store, loop, log, documents.hostKey(name), settings.self().encode(), LEASE_TIME);
         this.gossip = new Gossip(loop, fleet, log, settings.self());
         this.limiter = new AccountLimiter(System::nanoTime, gossip);
         int saved = Math.max(1, (int) (settings.repeatExtra() * REPEAT_PART / MOST_HOSTS));
         this.calls = CallService.create(
                 loop,
                 dialect,
-                fleet,
-                freshness,
-                limiter,
+                new CallService.View(fleet, freshness, limiter),
                 log,
                 new CallService.Place(name, settings.self().region()),
                 new CallService.RepeatBound(settings.repeatRatio() * REPEAT_PART, saved),
@@ -128,8 +132,8 @@
 
     private void begin() throws IOException {
         callerServer = HttpServer.open(settings.callers(), group, calls.forCallers());
-        InetSocketAddress hop = new InetSocketAddress(
-                settings.self().address(), settings.self().hopPort());
+        InetSocketAddress hop =
+                new InetSocketAddress(settings.self().address(), settings.self().hopPort());
         hopServer = HttpServer.open(hop, group, calls.forHosts());
         gossip.start(limiter);
         fleet.onConfiguration(next -> {
@@ -191,16 +195,16 @@
      * closed with their next answers. Returns when nothing runs any more, or shortly before the grace period ends.
      */
     public void stop() {
-        if (leaving) {
+        if (stopping.getAndSet(true)) {
             return;
         }
-        leaving = true;
         long start = System.nanoTime();
         log.belief("host_stopping", "host", settings.self().name());
         loop.execute(() -> {
             directory.leave();
             lease.end();
             callerServer.leave();
+            leaving = true;
         });
         long most = settings.gracePeriod().minus(END_MARGIN).toNanos();
         boolean done = false;
@@ -218,6 +222,12 @@
                 (System.nanoTime() - start) / 1_000_000);
     }
 
+    /** Ends everything at once; requests that run are cut. */
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
     private long busyConnections() {
         CountDownLatch answered = new CountDownLatch(1);
         long[] busy = {0};
@@ -245,6 +255,7 @@
     private final class MirrorListener implements StoreMirror.Listener {
 
         private final FleetDocuments documents;
+        private boolean wasReachable;
 
         private MirrorListener(FleetDocuments documents) {
             this.documents = documents;
@@ -262,9 +273,10 @@
 
         @Override
         public void reachable(boolean nowReachable) {
-            if (nowReachable) {
+            if (nowReachable && wasReachable) {
                 fleet.storeReturned();
             }
+            wasReachable = true;
         }
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -149,8 +149,8 @@
         dropBody();
         ServerRejection rejection = server.handler().rejectionOf(reason);
         ByteBuf text = Unpooled.copiedBuffer(rejection.body(), StandardCharsets.UTF_8);
-        FullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(rejection.status()), text);
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(rejection.status()), text);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
@@ -245,7 +245,8 @@
                 response.release();
                 return;
             }
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+            response.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
             setConnection(response.headers());
             end(context.writeAndFlush(response));
         }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/limit/AccountLimiter.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/limit/AccountLimiter.java
@@ -18,7 +18,7 @@
 public final class AccountLimiter {
 
     /** Part of the burst that buckets hold together; the rest covers debts. */
-    private static final double BURST_PART = 0.8;
+    private static final double BURST_PART = 0.95;
 
     /** Time over which demand is averaged: short against the peaks of a day, long against a single request. */
     private static final double DEMAND_SECONDS = 2;
@@ -71,6 +71,11 @@
         return demand;
     }
 
+    /** Returns the part of an account's limit that this host may use now. */
+    public double shareOf(String account) {
+        return shares.of(account);
+    }
+
     /** Tells which part of an account's limit this host may use. */
     public interface Shares {
 
@@ -101,7 +106,8 @@
                 level -= cost;
                 return Optional.empty();
             }
-            Duration wait = Duration.ofNanos((long) (Math.min(60, (1 - level) / Math.max(rate, 1e-6)) * NANOS_PER_SECOND));
+            Duration wait =
+                    Duration.ofNanos((long) (Math.min(60, (1 - level) / Math.max(rate, 1e-6)) * NANOS_PER_SECOND));
             return Optional.of(wait.compareTo(SHORTEST_WAIT) < 0 ? SHORTEST_WAIT : wait);
         }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/HostLease.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/HostLease.java
@@ -32,7 +32,12 @@
      * @param time how long the record outlives the last renewal
      */
     public HostLease(
-            AsyncStore store, ScheduledExecutorService loop, DecisionLog log, String key, byte[] record, Duration time) {
+            AsyncStore store,
+            ScheduledExecutorService loop,
+            DecisionLog log,
+            String key,
+            byte[] record,
+            Duration time) {
         this.store = store;
         this.loop = loop;
         this.log = log;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
@@ -25,9 +25,6 @@
  */
 public final class StoreMirror {
 
-    /** How long a watch waits for a change; bounds the age of the proof that it brings. */
-    private static final Duration WATCH_TIME = Duration.ofMillis(1_000);
-
     /** Pause after a failed call; short against the time that a proof lasts, long against the store's rates. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(250);
 
@@ -36,24 +33,31 @@
     private final Freshness freshness;
     private final DecisionLog log;
     private final Listener listener;
+    private final Duration watchTime;
     private final Map<String, Long> revisions = new HashMap<>();
     private long revision;
     private boolean reachable;
     private boolean synced;
     private long generation;
 
-    /** Creates a mirror that has read nothing; {@link #start} makes it begin. */
+    /**
+     * Creates a mirror that has read nothing; {@link #start} makes it begin.
+     *
+     * @param watchTime how long a watch waits for a change, which bounds the age of the proof that it brings
+     */
     public StoreMirror(
             AsyncStore store,
             ScheduledExecutorService loop,
             Freshness freshness,
             DecisionLog log,
-            Listener listener) {
+            Listener listener,
+            Duration watchTime) {
         this.store = store;
         this.loop = loop;
         this.freshness = freshness;
         this.log = log;
         this.listener = listener;
+        this.watchTime = watchTime;
     }
 
     /** Begins to read and to watch. */
@@ -110,7 +114,7 @@
         freshness.prove(sentAt);
         log.belief("store_read", "keys", seen.size(), "revision", from);
         listener.synced();
-        watch(round, WATCH_TIME);
+        watch(round, watchTime);
     }
 
     private void watch(long round, Duration wait) {
@@ -123,13 +127,13 @@
                 reached();
                 apply(changes);
                 freshness.prove(sentAt);
-                watch(round, WATCH_TIME);
+                watch(round, watchTime);
             } else if (reasonOf(failure) == AsyncStoreException.Reason.COMPACTED) {
                 log.belief("store_history_gone", "revision", revision);
                 start();
             } else {
                 failed(failure);
-                retry(round, () -> watch(round, WATCH_TIME));
+                retry(round, () -> watch(round, watchTime));
             }
         });
     }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/admission/OverloadRule.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/admission/OverloadRule.java
@@ -10,7 +10,8 @@
  * the others and nearly all answers would be late; with the backlog bounded by the objective, the endpoints stay as busy
  * and what they answer is on time. The more urgent a request, the longer the backlog that it may join, so that less
  * urgent ones leave room. What a request itself needs counts only up to a part of the objective: a large prompt is slow
- * wherever it runs, and would else never be taken. Stateless and thread-safe.
+ * wherever it runs, and would else never be taken. A caller is told to come back when the overload is expected to be
+ * over: one that has lasted a while is expected to last as long again. Stateless and thread-safe.
  */
 public final class OverloadRule {
 
@@ -40,9 +41,11 @@
      * @param ownMillis part of it that the request itself needs
      * @param objective time within which its answer has its full value
      * @param rank its priority; 0 is the most urgent
+     * @param overloadedFor for how long requests have been turned away without a pause
      * @return when it may come back, or empty if it is taken
      */
-    public static Optional<Duration> refuse(double estimateMillis, double ownMillis, Duration objective, int rank) {
+    public static Optional<Duration> refuse(
+            double estimateMillis, double ownMillis, Duration objective, int rank, Duration overloadedFor) {
         double aim = objective.toMillis();
         double part = Math.max(LEAST_PART, URGENT_PART - PART_PER_RANK * Math.max(0, rank));
         double counted = estimateMillis - ownMillis + Math.min(ownMillis, OWN_PART * aim);
@@ -50,7 +53,8 @@
         if (excess <= 0) {
             return Optional.empty();
         }
-        Duration wait = Duration.ofMillis((long) excess).plus(SHORTEST_RETRY);
+        long expected = Math.max((long) excess, overloadedFor.toMillis());
+        Duration wait = Duration.ofMillis(expected).plus(SHORTEST_RETRY);
         return Optional.of(wait.compareTo(LONGEST_RETRY) > 0 ? LONGEST_RETRY : wait);
     }
 }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/share/LimitShare.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/share/LimitShare.java
@@ -14,7 +14,7 @@
 public final class LimitShare {
 
     /** Part that is divided evenly. */
-    private static final double EVEN_PART = 0.3;
+    private static final double EVEN_PART = 0.15;
 
     private LimitShare() {}
 
--- /dev/null
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/placement/EndpointPlacerTest.java
@@ -0,0 +1,102 @@
+package org.toucanlane.policy.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.junit.jupiter.api.Test;
+import org.toucanlane.coordination.hash.RendezvousHash;
+
+class EndpointPlacerTest {
+
+    private static final PromptSize CRITIQUE = new PromptSize(17_000, 13_300, 120);
+
+    private final RandomGenerator random = new Random(7);
+
+    @Test
+    void keepsARequestWithTheEndpointThatHasItsPrefix() {
+        List<PlacementCandidate> candidates = List.of(
+                new PlacementCandidate(load("a", 3, 2_000), 13_300), new PlacementCandidate(load("b", 0, 0), 0));
+        Placement placement =
+                EndpointPlacer.choose(candidates, CRITIQUE, 1, random).orElseThrow();
+        assertThat(placement.id()).isEqualTo("a");
+        assertThat(placement.newTokens()).isEqualTo(3_700);
+    }
+
+    @Test
+    void leavesTheEndpointWithThePrefixWhenItsBacklogCostsMoreThanReadingAnew() {
+        List<PlacementCandidate> candidates = List.of(
+                new PlacementCandidate(load("a", 10, 40_000), 13_300), new PlacementCandidate(load("b", 0, 0), 0));
+        assertThat(EndpointPlacer.choose(candidates, CRITIQUE, 1, random)
+                        .orElseThrow()
+                        .id())
+                .isEqualTo("b");
+    }
+
+    @Test
+    void allHostsRankEquallyFastEndpointsAlike() {
+        List<PlacementCandidate> candidates = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            candidates.add(new PlacementCandidate(load("e" + i, 1, 0), 0));
+        }
+        for (long affinity = 1; affinity < 50; affinity++) {
+            String first = EndpointPlacer.choose(candidates, CRITIQUE, affinity, new Random(1))
+                    .orElseThrow()
+                    .id();
+            String second = EndpointPlacer.choose(candidates, CRITIQUE, affinity, new Random(2))
+                    .orElseThrow()
+                    .id();
+            assertThat(second).isEqualTo(first);
+        }
+    }
+
+    @Test
+    void avoidsAnEndpointThatFailsItsRequests() {
+        EndpointLoad failing = new EndpointLoad("a", 1, 6, 0, 0, 0, 0, 1, 0.4, 40);
+        EndpointLoad sound = new EndpointLoad("b", 2, 6, 3, 0, 0, 0, 1, 0, 40);
+        List<PlacementCandidate> candidates =
+                List.of(new PlacementCandidate(failing, 0), new PlacementCandidate(sound, 0));
+        assertThat(EndpointPlacer.choose(candidates, PromptSize.NONE, 0, random)
+                        .orElseThrow()
+                        .id())
+                .isEqualTo("b");
+    }
+
+    @Test
+    void choosesNothingAmongNothing() {
+        assertThat(EndpointPlacer.choose(List.of(), CRITIQUE, 1, random)).isEmpty();
+    }
+
+    /** Replays 59 shared prefixes, drawn evenly, on four engines that each keep a quarter of them. */
+    @Test
+    void readsFewPrefixesTwiceUnderASharedPrefixLoad() {
+        Map<String, Set<Integer>> kept = new HashMap<>();
+        int reads = 0;
+        int requests = 600;
+        Random draw = new Random(3);
+        for (int i = 0; i < requests; i++) {
+            int prefix = draw.nextInt(59);
+            List<PlacementCandidate> candidates = new ArrayList<>();
+            for (String id : List.of("a", "b", "c", "d")) {
+                boolean has = kept.computeIfAbsent(id, key -> new HashSet<>()).contains(prefix);
+                candidates.add(new PlacementCandidate(load(id, 2, draw.nextInt(4_000)), has ? 13_300 : 0));
+            }
+            Placement placement = EndpointPlacer.choose(
+                            candidates, CRITIQUE, RendezvousHash.hash("prefix" + prefix), random)
+                    .orElseThrow();
+            reads += kept.get(placement.id()).add(prefix) ? 1 : 0;
+        }
+        assertThat(reads).isEqualTo(59);
+    }
+
+    private static EndpointLoad load(String id, int running, long pending) {
+        return new EndpointLoad(
+                id, RendezvousHash.hash(id), 64, running, pending, running * 4_000L, 348_000, 1, 0, 800);
+    }
+}
