Tell other regions which endpoints are in use and how slow they are; compare ranks within a service

Ruled out: lost reports, since estimates within a region were right. Change: reports carry usable and slowness; a region that turned a request away gets none of that service for 250 ms; ranks count from the most urgent route of the service.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/AdmittedCall.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/AdmittedCall.java
@@ -1,7 +1,6 @@
 package org.toucanlane.edge.call;
 
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import org.toucanlane.domain.serving.ServingAccount;
 import org.toucanlane.domain.serving.ServingRoute;
@@ -19,6 +18,7 @@
  * @param charged what was taken from the account's limit
  * @param fromHost host that has passed it on, if any
  * @param version version of the configuration that admitted it
+ * @param mostUrgent smallest priority of the routes to its service
  */
 public record AdmittedCall(
         CallHead head,
@@ -30,17 +30,19 @@
         int endpointsLeft,
         long charged,
         Optional<String> fromHost,
-        long version) {
+        long version,
+        int mostUrgent) {
 
     /** Returns whether it may run in {@code region}. */
     public boolean mayRunIn(String region) {
         return regions.isEmpty() || regions.contains(region);
     }
 
-    /** Returns its rank; 0 is the most urgent. */
-    public OptionalInt priority() {
-        return account.isPresent() && account.get().priority().isPresent()
-                ? account.get().priority()
-                : route.priority();
+    /** Returns its rank among the requests for its service; 0 is the most urgent. */
+    public int rank() {
+        int own = account.isPresent() && account.get().priority().isPresent()
+                ? account.get().priority().getAsInt()
+                : route.priority().orElse(mostUrgent);
+        return Math.max(0, own - mostUrgent);
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -252,6 +252,9 @@
 
     private boolean repeats(RepeatRule.Kind kind) {
         boolean host = current != null && current.upstream().isHost();
+        if (host && kind == RepeatRule.Kind.NOT_SENT) {
+            services.router().noteRefusal(current.upstream().name(), admitted.service());
+        }
         if (kind == RepeatRule.Kind.MAY_HAVE_RUN) {
             endpointsLeft = host ? 0 : endpointsLeft - 1;
         }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
@@ -69,17 +69,19 @@
                                 cost));
             }
         }
+        String service = route.serviceFor(RendezvousHash.hash(head.id()));
         return new AdmittedCall(
                 head,
                 route,
-                route.serviceFor(RendezvousHash.hash(head.id())),
+                service,
                 account,
                 regions(route, account),
                 receivedAt + timeLeft(head, route).toNanos(),
                 route.maxEndpoints(),
                 cost,
                 Optional.empty(),
-                configuration.version());
+                configuration.version(),
+                configuration.mostUrgentPriority(service));
     }
 
     /**
@@ -109,17 +111,19 @@
                         head.key(),
                         head.prompt(),
                         hop.resumeAfter());
+        String service = route.serviceFor(RendezvousHash.hash(head.id()));
         return new AdmittedCall(
                 resumed,
                 route,
-                route.serviceFor(RendezvousHash.hash(head.id())),
+                service,
                 account,
                 regions(route, account),
                 receivedAt + hop.timeLeft().toNanos(),
                 Math.max(1, hop.endpointsLeft()),
                 0,
                 Optional.of(hop.from()),
-                configuration.version());
+                configuration.version(),
+                configuration.mostUrgentPriority(service));
     }
 
     private static HopHeaders.Hop hop(HttpRequest request) throws CallRefusedException {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -43,12 +45,16 @@
     /** When to come back if all endpoints are cold. */
     private static final Duration COLD_RETRY = Duration.ofMillis(400);
 
+    /** Time for which a region that has turned a request away gets no other: until its next reports have come. */
+    private static final Duration FULL_TIME = Duration.ofMillis(250);
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Fleet fleet;
     private final String region;
     private final RandomGenerator random;
     private final OverloadSpell overload = new OverloadSpell();
+    private final Map<RegionService, Long> fullUntil = new HashMap<>();
 
     Router(Fleet fleet, String region, RandomGenerator random) {
         this.fleet = fleet;
@@ -84,7 +90,7 @@
                 estimateMillis,
                 Math.min(own, estimateMillis),
                 call.route().objective(),
-                call.priority().orElse(0),
+                call.rank(),
                 overload.lasting(call.service(), System.nanoTime()));
         if (wait.isPresent()) {
             overload.refused(call.service(), System.nanoTime());
@@ -152,6 +158,15 @@
         }
     }
 
+    /** Notes that a host of another region has turned away a request for {@code service}. */
+    void noteRefusal(String host, String service) {
+        fleet.host(host)
+                .ifPresent(known -> fullUntil.put(
+                        new RegionService(known.entry().region(), service), System.nanoTime() + FULL_TIME.toNanos()));
+    }
+
+    private record RegionService(String region, String service) {}
+
     private Optional<Destination.Remote> remote(AdmittedCall call, Set<String> tried, long now) {
         return fleet.hosts().stream()
                 .map(host -> host.entry().region())
@@ -162,6 +177,9 @@
     }
 
     private Optional<Destination.Remote> remote(AdmittedCall call, String other, Set<String> tried, long now) {
+        if (fullUntil.getOrDefault(new RegionService(other, call.service()), now) - now > 0) {
+            return Optional.empty();
+        }
         List<HostHandle> reachable = fleet.hosts().stream()
                 .filter(host -> host.entry().region().equals(other)
                         && host.isHeard(now, REPORT_AGE.toNanos())
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
@@ -234,12 +234,14 @@
     /** Returns its load with the reports of other hosts. */
     public EndpointLoad load(long now) {
         int allRunning = running;
+        double slowest = slowness;
         long allPending = pendingTokens;
         long allUsed = usedTokens;
         for (RemoteLoad load : remote.values()) {
             allRunning += load.running();
             allPending += load.pendingTokens();
             allUsed += load.usedTokens();
+            slowest = Math.max(slowest, load.slowness());
         }
         return new EndpointLoad(
                 entry.id(),
@@ -249,14 +251,19 @@
                 allPending,
                 allUsed,
                 memoryTokens,
-                slowness,
+                slowest,
                 failureRate(now),
                 serviceMillis);
     }
 
-    /** Returns what this host has running on it. */
-    public RemoteLoad ownLoad() {
-        return new RemoteLoad(running, pendingTokens, usedTokens);
+    /** Returns what this host has running on it, and thinks of it. */
+    public RemoteLoad ownLoad(long now) {
+        return new RemoteLoad(running, pendingTokens, usedTokens, isUsable(now), slowness);
+    }
+
+    /** Returns whether the hosts that can reach it would send requests there now, as far as they have told. */
+    public boolean isUsableElsewhere(long now) {
+        return isUsable(now) && remote.values().stream().allMatch(RemoteLoad::usable);
     }
 
     /** Returns its newest entry. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
@@ -101,12 +101,13 @@
     }
 
     private List<LoadReport> reports() {
+        long now = System.nanoTime();
         Map<String, RemoteLoad> loads = new HashMap<>();
         fleet.endpoints().stream()
                 .filter(endpoint ->
                         fleet.regionOf(endpoint.entry().dataCentre()).equals(self.region()))
                 .filter(this::isWorthTelling)
-                .forEach(endpoint -> loads.put(endpoint.id(), endpoint.ownLoad()));
+                .forEach(endpoint -> loads.put(endpoint.id(), endpoint.ownLoad(now)));
         Map<String, Double> demand = new HashMap<>();
         limiter.demand().entrySet().stream()
                 .filter(entry -> entry.getValue() >= 1)
@@ -136,7 +137,8 @@
 
     /** Returns whether an endpoint has requests of this host, or had some in the last far round. */
     private boolean isWorthTelling(EndpointHandle endpoint) {
-        boolean busy = endpoint.ownLoad().running() > 0;
+        RemoteLoad load = endpoint.ownLoad(System.nanoTime());
+        boolean busy = load.running() > 0 || !load.usable();
         int quiet = busy ? 0 : quietRounds.getOrDefault(endpoint.id(), 0) + 1;
         quietRounds.put(endpoint.id(), quiet);
         return quiet <= 2 * ROUNDS_BETWEEN_FAR_REPORTS;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/LoadReport.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/LoadReport.java
@@ -51,7 +51,10 @@
             for (Map.Entry<String, RemoteLoad> entry : endpoints.entrySet()) {
                 RemoteLoad load = entry.getValue();
                 json.writeFieldName(entry.getKey());
-                json.writeArray(new long[] {load.running(), load.pendingTokens(), load.usedTokens()}, 0, 3);
+                long percent = Math.round(load.slowness() * 100);
+                long[] values = {load.running(), load.pendingTokens(), load.usedTokens(), load.usable() ? 1 : 0, percent
+                };
+                json.writeArray(values, 0, values.length);
             }
             json.writeEndObject();
             json.writeObjectFieldStart("demand");
@@ -105,6 +108,10 @@
 
     private static RemoteLoad loadOf(JsonNode values) {
         return new RemoteLoad(
-                values.path(0).asInt(), values.path(1).asLong(), values.path(2).asLong());
+                values.path(0).asInt(),
+                values.path(1).asLong(),
+                values.path(2).asLong(),
+                values.path(3).asInt() != 0,
+                values.path(4).asInt() / 100.0);
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostDirectory.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostDirectory.java
@@ -1,10 +1,9 @@
 package org.toucanlane.edge.host;
 
+import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.Predicate;
 import org.toucanlane.domain.serving.ServingRoute;
 import org.toucanlane.edge.fleet.Fleet;
@@ -12,8 +11,8 @@
 import org.toucanlane.edge.fleet.HostRecord;
 
 /**
- * Tells callers which hosts to use: those of the caller's region, or else of a region in which all routes of the host
- * name may run.
+ * Tells callers which hosts to use: those of the caller's region, or else those of the regions in which most routes of
+ * the host name may run.
  *
  * <p>A host is named as long as its lease stands, unless it reports to its neighbours no longer. Used on the host's event
  * loop only.
@@ -47,9 +46,22 @@
         if (!near.isEmpty()) {
             return near;
         }
-        Set<String> homes = commonRegions(hostName);
-        List<HostRecord> allowed = pick(host -> homes.isEmpty() || homes.contains(host.region()), now);
-        return allowed.isEmpty() ? pick(host -> true, now) : allowed;
+        List<ServingRoute> routes =
+                fleet.configuration().map(current -> current.routesOf(hostName)).orElse(ImmutableList.of());
+        List<HostRecord> all = pick(host -> true, now);
+        long most = all.stream()
+                .mapToLong(host -> routesAllowedIn(host.region(), routes))
+                .max()
+                .orElse(0);
+        return all.stream()
+                .filter(host -> routesAllowedIn(host.region(), routes) == most)
+                .toList();
+    }
+
+    private static long routesAllowedIn(String region, List<ServingRoute> routes) {
+        return routes.stream()
+                .filter(route -> route.regions().isEmpty() || route.regions().contains(region))
+                .count();
     }
 
     private List<HostRecord> pick(Predicate<HostRecord> wanted, long now) {
@@ -69,18 +81,4 @@
     private boolean isLost(HostHandle host, long now) {
         return host.entry().region().equals(self.region()) && host.hasFallenSilent(now, SILENCE.toNanos());
     }
-
-    private Set<String> commonRegions(String hostName) {
-        Set<String> common = new HashSet<>();
-        fleet.configuration().ifPresent(configuration -> {
-            for (ServingRoute route : configuration.routesOf(hostName)) {
-                if (!route.regions().isEmpty() && common.isEmpty()) {
-                    common.addAll(route.regions());
-                } else if (!route.regions().isEmpty()) {
-                    common.retainAll(route.regions());
-                }
-            }
-        });
-        return common;
-    }
 }
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/LoadReportTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/LoadReportTest.java
@@ -18,7 +18,7 @@
         LoadReport report = new LoadReport(
                 "h",
                 7,
-                Map.of("e", new RemoteLoad(1, 2, 3)),
+                Map.of("e", new RemoteLoad(1, 2, 3, true, 1.25)),
                 Map.of("acme", 12.0),
                 Map.of("e", List.of(new CachedPart("m/ab", 13_300))));
         assertThat(LoadReport.decode(report.encode())).isEqualTo(report);
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/admission/OverloadRule.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/admission/OverloadRule.java
@@ -19,7 +19,7 @@
     private static final double URGENT_PART = 0.9;
 
     /** By how much of the objective each further rank may use less. */
-    private static final double PART_PER_RANK = 0.12;
+    private static final double PART_PER_RANK = 0.3;
 
     private static final double LEAST_PART = 0.55;
 
@@ -40,7 +40,7 @@
      * @param estimateMillis time until its answer is expected to begin
      * @param ownMillis part of it that the request itself needs
      * @param objective time within which its answer has its full value
-     * @param rank its priority; 0 is the most urgent
+     * @param rank its rank among the requests for the same endpoints; 0 is the most urgent
      * @param overloadedFor for how long requests have been turned away without a pause
      * @return when it may come back, or empty if it is taken
      */
