Never turn a request away where nothing waits, and forget an endpoint's slowness

Cause: the estimate that turned requests away grew with the measured slowness of endpoints, and slowness was measured only by requests that were taken. Change: OverloadRule counts the wait that others cause; slowness halves its way to 1 in two seconds; the mean of the hosts' measures is used; hops tell whether an endpoint had got the request; one backlog bound for all routes of a service.

--- a/toucanlane-domain/src/main/java/org/toucanlane/domain/serving/ServingConfiguration.java
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/serving/ServingConfiguration.java
@@ -22,7 +22,7 @@
     private final ImmutableMap<String, ServingService> services;
     private final ImmutableMap<String, ServingAccount> accounts;
     private final ImmutableMap<String, ServingAccount> accountsByKey;
-    private final ImmutableMap<String, Integer> mostUrgent;
+    private final ImmutableMap<String, RouteBounds> boundsByService;
     private final CallerLimits limits;
 
     private ServingConfiguration(
@@ -43,11 +43,10 @@
         this.accounts = accounts.stream()
                 .collect(ImmutableMap.toImmutableMap(ServingAccount::name, account -> account, (a, b) -> b));
         this.accountsByKey = ImmutableMap.copyOf(accountsByKey);
-        this.mostUrgent = routes.stream()
-                .flatMap(route -> route.services().stream()
-                        .map(share ->
-                                Map.entry(share.service(), route.priority().orElse(0))))
-                .collect(ImmutableMap.toImmutableMap(Map.Entry::getKey, Map.Entry::getValue, Math::min));
+        this.boundsByService = routes.stream()
+                .flatMap(route ->
+                        route.services().stream().map(share -> Map.entry(share.service(), RouteBounds.of(route))))
+                .collect(ImmutableMap.toImmutableMap(Map.Entry::getKey, Map.Entry::getValue, RouteBounds::merge));
         this.limits = limits;
     }
 
@@ -91,9 +90,9 @@
         return Optional.ofNullable(services.get(name));
     }
 
-    /** Returns the smallest, most urgent priority of the routes to a service; 0 if there are none. */
-    public int mostUrgentPriority(String service) {
-        return mostUrgent.getOrDefault(service, 0);
+    /** Returns what the routes to a service ask of it together. */
+    public RouteBounds boundsOf(String service) {
+        return boundsByService.getOrDefault(service, RouteBounds.NONE);
     }
 
     /** Returns the account that holds {@code key}, or empty if none does. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/AdmittedCall.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/AdmittedCall.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.toucanlane.domain.serving.RouteBounds;
 import org.toucanlane.domain.serving.ServingAccount;
 import org.toucanlane.domain.serving.ServingRoute;
 
@@ -18,7 +19,7 @@
  * @param charged what was taken from the account's limit
  * @param fromHost host that has passed it on, if any
  * @param version version of the configuration that admitted it
- * @param mostUrgent smallest priority of the routes to its service
+ * @param bounds what all routes to its service ask of it
  */
 public record AdmittedCall(
         CallHead head,
@@ -31,7 +32,7 @@
         long charged,
         Optional<String> fromHost,
         long version,
-        int mostUrgent) {
+        RouteBounds bounds) {
 
     /** Returns whether it may run in {@code region}. */
     public boolean mayRunIn(String region) {
@@ -42,7 +43,7 @@
     public int rank() {
         int own = account.isPresent() && account.get().priority().isPresent()
                 ? account.get().priority().getAsInt()
-                : route.priority().orElse(mostUrgent);
-        return Math.max(0, own - mostUrgent);
+                : route.priority().orElse(bounds.mostUrgent());
+        return Math.max(0, own - bounds.mostUrgent());
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
@@ -6,8 +6,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.IOException;
 import java.util.Optional;
-import org.toucanlane.domain.outcome.ErrorKind;
-import org.toucanlane.domain.outcome.Ran;
 import org.toucanlane.domain.serving.CallKind;
 import org.toucanlane.edge.fleet.Reservation;
 import org.toucanlane.edge.http.ClientCall;
@@ -34,7 +32,7 @@
     private ClientCall call;
     private HttpResponse head;
     private EndpointReply reply;
-    private Optional<ErrorKind> refusal = Optional.empty();
+    private Optional<HopHeaders.HopRefusal> refusal = Optional.empty();
     private boolean streaming;
     private boolean done;
 
@@ -127,10 +125,8 @@
     private void takeWhole() {
         if (refusal.isPresent()) {
             end(Reservation.Result.GIVEN_UP);
-            boolean notRun = refusal.get().ran() == Ran.NOT_RUN;
-            listener.failed(
-                    notRun ? RepeatRule.Kind.NOT_SENT : RepeatRule.Kind.MAY_HAVE_RUN,
-                    "host answered " + refusal.get().word());
+            HopHeaders.HopRefusal said = refusal.get();
+            listener.failed(said.repeatKind(), "host answered " + said.kind().word());
         } else if (reply.otherEndpoint()) {
             upstream.replaced();
             end(Reservation.Result.GIVEN_UP);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -252,7 +252,7 @@
 
     private boolean repeats(RepeatRule.Kind kind) {
         boolean host = current != null && current.upstream().isHost();
-        if (host && kind == RepeatRule.Kind.NOT_SENT) {
+        if (host && kind != RepeatRule.Kind.MAY_HAVE_RUN) {
             services.router().noteRefusal(current.upstream().name(), admitted.service());
         }
         if (kind == RepeatRule.Kind.MAY_HAVE_RUN) {
@@ -301,7 +301,7 @@
                 .refuse(new Refusal(
                         kind, retryAfter, Optional.of(admitted.head().id()), detail));
         if (admitted.fromHost().isPresent()) {
-            HopHeaders.markRefusal(response.headers(), kind);
+            HopHeaders.markRefusal(response.headers(), kind, !attempts.isEmpty());
         }
         inbound.responder().respond(response);
         if (kind.ran() == Ran.NOT_RUN) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
@@ -81,7 +81,7 @@
                 cost,
                 Optional.empty(),
                 configuration.version(),
-                configuration.mostUrgentPriority(service));
+                configuration.boundsOf(service));
     }
 
     /**
@@ -123,7 +123,7 @@
                 0,
                 Optional.of(hop.from()),
                 configuration.version(),
-                configuration.mostUrgentPriority(service));
+                configuration.boundsOf(service));
     }
 
     private static HopHeaders.Hop hop(HttpRequest request) throws CallRefusedException {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -83,7 +83,7 @@
         FullHttpResponse response =
                 services.dialect().refuse(new Refusal(kind, e.retryAfter(), id, String.valueOf(e.getMessage())));
         if (ofHost) {
-            HopHeaders.markRefusal(response.headers(), kind);
+            HopHeaders.markRefusal(response.headers(), kind, false);
         }
         request.responder().respond(response);
         services.log()
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Destination.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Destination.java
@@ -10,6 +10,9 @@
     /** Returns the expected time to the first answer in milliseconds. */
     double estimateMillis();
 
+    /** Returns the part of it that is due to other requests. */
+    double waitMillis();
+
     /**
      * An endpoint of this region.
      *
@@ -21,6 +24,11 @@
         public double estimateMillis() {
             return placement.estimateMillis();
         }
+
+        @Override
+        public double waitMillis() {
+            return placement.waitMillis();
+        }
     }
 
     /**
@@ -28,6 +36,7 @@
      *
      * @param host the host
      * @param estimateMillis expected time to the first answer, with the way there and back
+     * @param waitMillis part of it that is due to other requests
      */
-    record Remote(HostHandle host, double estimateMillis) implements Destination {}
+    record Remote(HostHandle host, double estimateMillis, double waitMillis) implements Destination {}
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HopHeaders.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HopHeaders.java
@@ -9,6 +9,8 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.domain.outcome.Ran;
+import org.toucanlane.policy.retry.RepeatRule;
 
 /** The headers that hosts add to a request that one passes on to another, and to its answer. */
 final class HopHeaders {
@@ -20,6 +22,7 @@
     private static final String VERSION = "toucanlane-version";
     private static final String RESUME_AFTER = "toucanlane-resume-after";
     private static final String REFUSAL = "toucanlane-refusal";
+    private static final String SENT = "toucanlane-sent";
 
     private HopHeaders() {}
 
@@ -55,16 +58,41 @@
                 Optional.ofNullable(headers.get(RESUME_AFTER)));
     }
 
-    /** Marks an answer as one of this host itself. */
-    static void markRefusal(HttpHeaders headers, ErrorKind kind) {
+    /**
+     * Marks an answer as one of this host itself.
+     *
+     * @param sent whether the request had reached an endpoint, which then refused it
+     */
+    static void markRefusal(HttpHeaders headers, ErrorKind kind, boolean sent) {
         headers.set(REFUSAL, kind.word());
+        if (sent) {
+            headers.set(SENT, 1);
+        }
     }
 
-    /** Returns the kind of error if the answer is the other host's own. */
-    static Optional<ErrorKind> refusalOf(HttpResponse response) {
+    /** Returns what the other host says if the answer is its own. */
+    static Optional<HopRefusal> refusalOf(HttpResponse response) {
         return Optional.ofNullable(response.headers().get(REFUSAL))
-                .map(word -> word.toUpperCase(Locale.ROOT))
-                .map(HopHeaders::kindOf);
+                .map(word -> new HopRefusal(
+                        kindOf(word.toUpperCase(Locale.ROOT)),
+                        response.headers().contains(SENT)));
+    }
+
+    /**
+     * Another host's own answer.
+     *
+     * @param kind kind of error
+     * @param sent whether an endpoint had got the request
+     */
+    record HopRefusal(ErrorKind kind, boolean sent) {
+
+        /** Returns what the answer means for a repeat. */
+        RepeatRule.Kind repeatKind() {
+            if (kind.ran() != Ran.NOT_RUN) {
+                return RepeatRule.Kind.MAY_HAVE_RUN;
+            }
+            return sent ? RepeatRule.Kind.REFUSED : RepeatRule.Kind.NOT_SENT;
+        }
     }
 
     private static ErrorKind kindOf(String name) {
@@ -79,6 +107,7 @@
     /** Removes the headers of hosts from an answer that goes to a caller. */
     static void strip(HttpHeaders headers) {
         headers.remove(REFUSAL);
+        headers.remove(SENT);
     }
 
     /**
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
-import org.toucanlane.domain.outcome.ErrorKind;
 import org.toucanlane.edge.fleet.HostHandle;
 import org.toucanlane.edge.fleet.Reservation;
 import org.toucanlane.edge.http.ClientExchange;
@@ -23,7 +22,7 @@
     }
 
     @Override
-    public Optional<ErrorKind> refusalOf(HttpResponse response) {
+    public Optional<HopHeaders.HopRefusal> refusalOf(HttpResponse response) {
         return HopHeaders.refusalOf(response);
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -16,7 +16,6 @@
 import org.toucanlane.edge.fleet.Fleet;
 import org.toucanlane.edge.fleet.HostHandle;
 import org.toucanlane.policy.admission.OverloadRule;
-import org.toucanlane.policy.placement.AnswerEstimate;
 import org.toucanlane.policy.placement.EndpointPlacer;
 import org.toucanlane.policy.placement.Placement;
 import org.toucanlane.policy.placement.PlacementCandidate;
@@ -80,16 +79,16 @@
         boolean stay = here.isPresent()
                 && (away.isEmpty() || here.get().estimateMillis() <= away.get().estimateMillis() + LEAVE_MARGIN_MILLIS);
         Destination best = stay ? here.get() : away.get();
-        refuseIfLate(call, best.estimateMillis());
+        refuseIfLate(call, best);
         return best;
     }
 
-    private void refuseIfLate(AdmittedCall call, double estimateMillis) throws CallRefusedException {
-        double own = call.head().prompt().map(Prompt::promptTokens).orElse(0L) / AnswerEstimate.TOKENS_PER_MILLI;
+    private void refuseIfLate(AdmittedCall call, Destination best) throws CallRefusedException {
+        double estimateMillis = best.estimateMillis();
         Optional<Duration> wait = OverloadRule.refuse(
-                estimateMillis,
-                Math.min(own, estimateMillis),
-                call.route().objective(),
+                best.waitMillis(),
+                estimateMillis - best.waitMillis(),
+                call.bounds().shortestObjective(),
                 call.rank(),
                 overload.lasting(call.service(), System.nanoTime()));
         if (wait.isPresent()) {
@@ -190,7 +189,8 @@
         }
         HostHandle host = reachable.get(random.nextInt(reachable.size()));
         return estimateIn(call, other, now)
-                .map(placement -> new Destination.Remote(host, placement.estimateMillis() + HOP_MILLIS));
+                .map(placement ->
+                        new Destination.Remote(host, placement.estimateMillis() + HOP_MILLIS, placement.waitMillis()));
     }
 
     /** Returns what is expected in another region. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Upstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Upstream.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
-import org.toucanlane.domain.outcome.ErrorKind;
 import org.toucanlane.edge.fleet.Reservation;
 import org.toucanlane.edge.http.ClientExchange;
 
@@ -13,8 +12,8 @@
     /** Sends the request. */
     void send(FullHttpRequest request, ClientExchange exchange);
 
-    /** Returns the kind of error if the answer is another host's own, not an endpoint's. */
-    Optional<ErrorKind> refusalOf(HttpResponse response);
+    /** Returns what another host says if the answer is its own, not an endpoint's. */
+    Optional<HopHeaders.HopRefusal> refusalOf(HttpResponse response);
 
     /** Notes that something has come. */
     void progressed();
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
@@ -28,7 +28,10 @@
     /** Bounds on the measured slowness, so that one odd answer does not decide. */
     private static final double MIN_SLOWNESS = 0.4;
 
-    private static final double MAX_SLOWNESS = 12;
+    private static final double MAX_SLOWNESS = 6;
+
+    /** Time in which the slowness falls half the way to 1 without an answer, since a host's own start looks like it. */
+    private static final Duration SLOWNESS_HALF_LIFE = Duration.ofSeconds(2);
 
     /** Mean time of a request before one has been measured. */
     private static final double FIRST_ENGINE_MILLIS = 800;
@@ -62,6 +65,7 @@
     private long pendingTokens;
     private long usedTokens;
     private double slowness = 1;
+    private long slownessAt = System.nanoTime();
     private double failureRate;
     private long failureRateAt = System.nanoTime();
     private double serviceMillis;
@@ -174,10 +178,20 @@
         usedTokens += neededTokens;
     }
 
-    void hadFirstAnswer(long newTokens, double observedMillis, double estimatedMillis) {
+    void hadFirstAnswer(long newTokens, double observedMillis, double estimatedMillis, long now) {
         pendingTokens -= newTokens;
-        double ratio = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, observedMillis * slowness / estimatedMillis));
-        slowness += NEWEST_WEIGHT * (ratio - slowness);
+        double current = slowness(now);
+        double ratio = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, observedMillis * current / estimatedMillis));
+        slowness = current + NEWEST_WEIGHT * (ratio - current);
+        slownessAt = now;
+    }
+
+    private double slowness(long now) {
+        return 1 + (slowness - 1) * decay(now - slownessAt, SLOWNESS_HALF_LIFE);
+    }
+
+    private static double decay(long nanos, Duration halfLife) {
+        return Math.pow(0.5, (double) nanos / halfLife.toNanos());
     }
 
     void ended(long neededTokens, double observedMillis, boolean complete) {
@@ -218,8 +232,7 @@
     }
 
     private double failureRate(long now) {
-        double halfLives = (double) (now - failureRateAt) / FAILURE_HALF_LIFE.toNanos();
-        return failureRate * Math.pow(0.5, halfLives);
+        return failureRate * decay(now - failureRateAt, FAILURE_HALF_LIFE);
     }
 
     /** Takes another host's report of what it has running here; null if the host is gone. */
@@ -234,14 +247,14 @@
     /** Returns its load with the reports of other hosts. */
     public EndpointLoad load(long now) {
         int allRunning = running;
-        double slowest = slowness;
+        double slownessSum = slowness(now);
         long allPending = pendingTokens;
         long allUsed = usedTokens;
         for (RemoteLoad load : remote.values()) {
             allRunning += load.running();
             allPending += load.pendingTokens();
             allUsed += load.usedTokens();
-            slowest = Math.max(slowest, load.slowness());
+            slownessSum += load.slowness();
         }
         return new EndpointLoad(
                 entry.id(),
@@ -251,14 +264,14 @@
                 allPending,
                 allUsed,
                 memoryTokens,
-                slowest,
+                slownessSum / (remote.size() + 1),
                 failureRate(now),
                 serviceMillis);
     }
 
     /** Returns what this host has running on it, and thinks of it. */
     public RemoteLoad ownLoad(long now) {
-        return new RemoteLoad(running, pendingTokens, usedTokens, isUsable(now), slowness);
+        return new RemoteLoad(running, pendingTokens, usedTokens, isUsable(now), slowness(now));
     }
 
     /** Returns whether the hosts that can reach it would send requests there now, as far as they have told. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Reservation.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Reservation.java
@@ -45,7 +45,7 @@
     public void firstAnswer() {
         if (!answered && !ended) {
             answered = true;
-            endpoint.hadFirstAnswer(newTokens, millisSince(sentAt), estimatedMillis);
+            endpoint.hadFirstAnswer(newTokens, millisSince(sentAt), estimatedMillis, System.nanoTime());
         }
     }
 
--- /dev/null
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/HopHeadersTest.java
@@ -0,0 +1,50 @@
+package org.toucanlane.edge.call;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.policy.retry.RepeatRule;
+
+class HopHeadersTest {
+
+    @Test
+    void survivesTheWire() throws Exception {
+        HopHeaders.Hop hop =
+                new HopHeaders.Hop("a", Optional.of("acme"), Duration.ofMillis(900), 2, 7, Optional.of("12"));
+        HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+        HopHeaders.write(request.headers(), hop);
+        assertThat(HopHeaders.read(request)).isEqualTo(hop);
+    }
+
+    @Test
+    void refusesARequestWithoutThem() {
+        HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+        assertThatThrownBy(() -> HopHeaders.read(request)).isInstanceOf(InvalidCallException.class);
+    }
+
+    /** A request that an endpoint has refused counts against the budget, whichever host sends it again. */
+    @Test
+    void tellsWhetherAnEndpointHadGotTheRequest() {
+        assertThat(kindOf(ErrorKind.OVERLOADED, false)).isEqualTo(RepeatRule.Kind.NOT_SENT);
+        assertThat(kindOf(ErrorKind.OVERLOADED, true)).isEqualTo(RepeatRule.Kind.REFUSED);
+        assertThat(kindOf(ErrorKind.ENDPOINT_FAILED, true)).isEqualTo(RepeatRule.Kind.MAY_HAVE_RUN);
+        assertThat(kindOf(ErrorKind.TIMED_OUT, false)).isEqualTo(RepeatRule.Kind.MAY_HAVE_RUN);
+    }
+
+    private static RepeatRule.Kind kindOf(ErrorKind kind, boolean sent) {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
+        HopHeaders.markRefusal(response.headers(), kind, sent);
+        return HopHeaders.refusalOf(response).orElseThrow().repeatKind();
+    }
+}
--- /dev/null
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/host/HostDirectoryTest.java
@@ -0,0 +1,106 @@
+package org.toucanlane.edge.host;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.toucanlane.domain.serving.CallKind;
+import org.toucanlane.domain.serving.CallerLimits;
+import org.toucanlane.domain.serving.ServiceShare;
+import org.toucanlane.domain.serving.ServingConfiguration;
+import org.toucanlane.domain.serving.ServingRoute;
+import org.toucanlane.edge.fleet.Fleet;
+import org.toucanlane.edge.fleet.HostRecord;
+import org.toucanlane.edge.telemetry.DecisionLog;
+
+class HostDirectoryTest {
+
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final HostRecord self = host("south-1", "south");
+    private Fleet fleet;
+    private HostDirectory directory;
+
+    @BeforeEach
+    void start() {
+        fleet = new Fleet(loops.next(), new DecisionLog("test"), self.name(), Map.of());
+        directory = new HostDirectory(fleet, self);
+        add(host("north-1", "north"));
+        add(host("north-2", "north"));
+        add(host("east-1", "east"));
+    }
+
+    @AfterEach
+    void stop() {
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void namesTheHostsOfTheCallersRegion() {
+        assertThat(names("north")).containsExactlyInAnyOrder("north-1", "north-2");
+        assertThat(names("south")).containsExactly("south-1");
+    }
+
+    @Test
+    void forgetsHostsWhoseLeaseHasEnded() {
+        fleet.host("north-1", Optional.empty());
+        assertThat(names("north")).containsExactly("north-2");
+    }
+
+    /** Routes of one name with homes that have no region in common once made the directory name any host. */
+    @Test
+    void namesHomesWhereTheCallersRegionHasNoHost() {
+        fleet.configuration(configuration(1, List.of(Set.of("north"), Set.of("north", "east"), Set.of())));
+        assertThat(names("west")).containsExactlyInAnyOrder("north-1", "north-2");
+        fleet.configuration(configuration(2, List.of(Set.of("north"), Set.of("east"), Set.of("east", "west"))));
+        assertThat(names("west")).containsExactly("east-1");
+    }
+
+    @Test
+    void leavesItselfOutWhenItLeaves() {
+        directory.leave();
+        assertThat(names("south")).doesNotContain("south-1").isNotEmpty();
+    }
+
+    private List<String> names(String region) {
+        return directory.hostsFor("h", region).stream().map(HostRecord::name).toList();
+    }
+
+    private void add(HostRecord record) {
+        fleet.host(record.name(), Optional.of(record));
+    }
+
+    private static HostRecord host(String name, String region) {
+        return new HostRecord(name, region, region, "127.0.0.1", 1, 2, 3, 1, 1);
+    }
+
+    private static ServingConfiguration configuration(long version, List<Set<String>> homes) {
+        List<ServingRoute> routes = homes.stream()
+                .map(regions -> new ServingRoute(
+                        "r" + regions,
+                        "h",
+                        "/" + regions.hashCode() + '/',
+                        CallKind.IDEMPOTENT,
+                        false,
+                        Duration.ofSeconds(1),
+                        Duration.ofSeconds(1),
+                        Optional.empty(),
+                        OptionalInt.empty(),
+                        List.of(new ServiceShare("s", 1)),
+                        1,
+                        true,
+                        false,
+                        regions))
+                .toList();
+        return ServingConfiguration.of(version, routes, List.of(), Map.of(), List.of(), CallerLimits.DEFAULT);
+    }
+}
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/admission/OverloadRule.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/admission/OverloadRule.java
@@ -10,7 +10,8 @@
  * the others and nearly all answers would be late; with the backlog bounded by the objective, the endpoints stay as busy
  * and what they answer is on time. The more urgent a request, the longer the backlog that it may join, so that less
  * urgent ones leave room. What a request itself needs counts only up to a part of the objective: a large prompt is slow
- * wherever it runs, and would else never be taken. A caller is told to come back when the overload is expected to be
+ * wherever it runs, and would else never be taken; where nothing else waits, it is always taken, so a wrong estimate of
+ * an endpoint's speed is measured again. A caller is told to come back when the overload is expected to be
  * over: one that has lasted a while is expected to last as long again. Stateless and thread-safe.
  */
 public final class OverloadRule {
@@ -19,7 +20,7 @@
     private static final double URGENT_PART = 0.9;
 
     /** By how much of the objective each further rank may use less. */
-    private static final double PART_PER_RANK = 0.3;
+    private static final double PART_PER_RANK = 0.1;
 
     private static final double LEAST_PART = 0.55;
 
@@ -37,18 +38,19 @@
     /**
      * Decides on a request.
      *
-     * @param estimateMillis time until its answer is expected to begin
-     * @param ownMillis part of it that the request itself needs
-     * @param objective time within which its answer has its full value
+     * @param waitMillis part of the time until its answer begins that is due to other requests
+     * @param ownMillis the rest of that time, which the request needs wherever it runs
+     * @param objective shortest time within which answers of the same endpoints have their full value, so that a
+     *     request with a longer one does not fill the backlog that others must join
      * @param rank its rank among the requests for the same endpoints; 0 is the most urgent
      * @param overloadedFor for how long requests have been turned away without a pause
      * @return when it may come back, or empty if it is taken
      */
     public static Optional<Duration> refuse(
-            double estimateMillis, double ownMillis, Duration objective, int rank, Duration overloadedFor) {
+            double waitMillis, double ownMillis, Duration objective, int rank, Duration overloadedFor) {
         double aim = objective.toMillis();
         double part = Math.max(LEAST_PART, URGENT_PART - PART_PER_RANK * Math.max(0, rank));
-        double counted = estimateMillis - ownMillis + Math.min(ownMillis, OWN_PART * aim);
+        double counted = waitMillis + Math.min(ownMillis, OWN_PART * aim);
         double excess = counted - part * aim;
         if (excess <= 0) {
             return Optional.empty();
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/AnswerEstimate.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/AnswerEstimate.java
@@ -40,6 +40,16 @@
         return first * load.slowness() + Math.max(wait, memoryWait(load, neededTokens));
     }
 
+    /**
+     * Returns the part of the estimate that the request itself needs: what it would be if nothing else ran there.
+     *
+     * @param newTokens prompt tokens that the endpoint would have to read; 0 for a plain service
+     */
+    public static double idleMillis(EndpointLoad load, long newTokens) {
+        double alone = load.isEngine() ? FIRST_EVENT_MILLIS + newTokens / TOKENS_PER_MILLI : load.serviceMillis();
+        return alone * load.slowness();
+    }
+
     private static double slotWait(EndpointLoad load) {
         int ahead = load.running() + 1 - load.slots();
         return ahead <= 0 ? 0 : ahead * load.serviceMillis() * load.slowness() / load.slots();
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/EndpointPlacer.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/EndpointPlacer.java
@@ -63,7 +63,8 @@
         EndpointLoad load = candidate.load();
         double estimate = AnswerEstimate.millis(load, newTokens, newTokens + size.outputTokens());
         double cost = estimate + load.failureRate() * FAILURE_MILLIS;
-        return new Scored(load, new Placement(load.id(), estimate, newTokens), cost);
+        double wait = Math.max(0, estimate - AnswerEstimate.idleMillis(load, newTokens));
+        return new Scored(load, new Placement(load.id(), estimate, wait, newTokens), cost);
     }
 
     private record Scored(EndpointLoad load, Placement placement, double cost) {}
