--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/MeasureMain.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/MeasureMain.java
@@ -40,6 +40,7 @@
         all.put("path", PathMeasurement::new);
         all.put("limits", LimitsMeasurement::new);
         all.put("once", OnceMeasurement::new);
+        all.put("start", StartMeasurement::new);
         all.put("size", SizeMeasurement::new);
         all.put("config", () -> new ConfigMeasurement(hosts));
         return all;
--- /dev/null
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/StartMeasurement.java
@@ -0,0 +1,136 @@
+package org.toucanlane.standins.measure;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Processor time of the platform's host from exec to listening, and its memory a second later, over several starts with
+ * the command of the deploy file. Needs {@code bin/build-host}, and the process table of Linux.
+ */
+final class StartMeasurement implements Measurement {
+
+    private static final int STARTS = 5;
+    private static final long LONGEST_START_MILLIS = 20_000;
+    private static final long REST_MILLIS = 1_000;
+    private static final int POLL_MILLIS = 5;
+    private static final int PORTS = 4;
+
+    /** Positions of user and system time in the process table, behind the command's name. */
+    private static final int USER_TIME = 11;
+
+    private static final int SYSTEM_TIME = 12;
+    private static final double TICKS_PER_SECOND = 100;
+    private static final double KILOBYTES_PER_MEGABYTE = 1_024;
+
+    @Override
+    public void run(Path work, long seed, ObjectNode result) throws IOException, InterruptedException {
+        List<String> command = command();
+        List<Double> processor = new ArrayList<>();
+        List<Double> memory = new ArrayList<>();
+        for (int start = 0; start < STARTS; start++) {
+            List<Integer> ports = freePorts();
+            Path settings = Files.writeString(work.resolve("settings" + start), settings(ports));
+            ProcessBuilder builder = new ProcessBuilder(command)
+                    .redirectOutput(work.resolve("log" + start).toFile())
+                    .redirectErrorStream(true);
+            builder.environment().put("TOUCANLANE_NODE_FILE", settings.toString());
+            Process process = builder.start();
+            try {
+                awaitListening(process, ports.get(2));
+                processor.add(processorSeconds(process.pid()));
+                TimeUnit.MILLISECONDS.sleep(REST_MILLIS);
+                memory.add(residentMegabytes(process.pid()));
+            } finally {
+                process.destroyForcibly().waitFor();
+            }
+        }
+        result.put("starts", STARTS).put("start_cpu_s", median(processor)).put("rest_mb", median(memory));
+        result.put("start_cpu_s_most", Collections.max(processor)).put("rest_mb_most", Collections.max(memory));
+    }
+
+    private static List<String> command() throws IOException {
+        if (!Files.exists(Path.of("target/host/toucanlane-host.jar"))) {
+            throw new IOException("target/host is missing: run bin/build-host first");
+        }
+        String line = Files.readAllLines(Path.of("deploy/system.toml")).stream()
+                .filter(text -> text.startsWith("run = "))
+                .findFirst()
+                .orElseThrow(() -> new IOException("deploy/system.toml has no command"));
+        return Arrays.asList(
+                line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')).split(" "));
+    }
+
+    private static List<Integer> freePorts() throws IOException {
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < PORTS; i++) {
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                ports.add(socket.getLocalPort());
+            }
+        }
+        return ports;
+    }
+
+    private static String settings(List<Integer> ports) {
+        return String.join(
+                "\n",
+                "node=measured",
+                "zone=z",
+                "region=r",
+                "zones.z=r",
+                "ip=127.0.0.1",
+                "listen.front=127.0.0.1:" + ports.get(0),
+                "listen.ready=127.0.0.1:" + ports.get(1),
+                "listen.directory=127.0.0.1:" + ports.get(2),
+                "portRange=" + ports.get(3) + ',' + (ports.get(3) + 1),
+                "platform.addr=127.0.0.1:1");
+    }
+
+    private static void awaitListening(Process process, int port) throws IOException, InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONGEST_START_MILLIS);
+        while (!listens(port)) {
+            if (!process.isAlive() || System.nanoTime() > end) {
+                throw new IOException("the host does not listen on port " + port);
+            }
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+    }
+
+    private static boolean listens(int port) {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            return true;
+        } catch (IOException expected) {
+            return false;
+        }
+    }
+
+    private static double processorSeconds(long pid) throws IOException {
+        String line = Files.readString(Path.of("/proc/" + pid + "/stat"));
+        String[] fields = line.substring(line.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(fields[USER_TIME]) + Long.parseLong(fields[SYSTEM_TIME])) / TICKS_PER_SECOND;
+    }
+
+    private static double residentMegabytes(long pid) throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + pid + "/status")).stream()
+                .filter(line -> line.startsWith("VmRSS:"))
+                .mapToDouble(line -> Double.parseDouble(line.replaceAll("[^0-9]", "")) / KILOBYTES_PER_MEGABYTE)
+                .findFirst()
+                .orElseThrow(() -> new IOException("process " + pid + " has ended"));
+    }
+
+    private static double median(List<Double> values) {
+        List<Double> sorted = values.stream().sorted().toList();
+        return sorted.get(sorted.size() / 2);
+    }
+}
