--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
@@ -176,6 +176,18 @@
         }
     }
 
+    /** Gives the attempt up since nothing comes; the listener hears of a failure. */
+    void giveUpSilent() {
+        if (!done) {
+            ClientCall running = call;
+            end(Reservation.Result.FAILED);
+            if (running != null) {
+                running.cancel();
+            }
+            listener.failed(RepeatRule.Kind.MAY_HAVE_RUN, "nothing has come for too long");
+        }
+    }
+
     /** Releases what was collected. */
     void release() {
         collected.release();
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -28,6 +28,7 @@
 import org.toucanlane.edge.http.Responder;
 import org.toucanlane.policy.placement.Placement;
 import org.toucanlane.policy.retry.RepeatRule;
+import org.toucanlane.policy.retry.SilenceRule;
 
 /**
  * One request from its admission to its last answer.
@@ -58,6 +59,7 @@
     private double estimateMillis;
     private double firstMillis = -1;
     private String lastCause = "";
+    private long lastProgress;
 
     Call(CallServices services, InboundRequest inbound, AdmittedCall admitted) {
         this.services = services;
@@ -79,6 +81,9 @@
     /** Sends the request for the first time. */
     void start() {
         inbound.responder().listen(this);
+        if (admitted.route().isRepeatable()) {
+            services.running().add(this);
+        }
         long left = admitted.deadline() - System.nanoTime();
         deadline = services.loop().schedule(this::deadlinePassed, Math.max(0, left), TimeUnit.NANOSECONDS);
         sendNext();
@@ -159,12 +164,14 @@
         if (inbound.body().isReadable() || inbound.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, inbound.body().readableBytes());
         }
+        lastProgress = System.nanoTime();
         upstream.send(request, attempt);
     }
 
     @Override
     public void events(HttpResponse head, ByteBuf whole, long lastId) {
         lastEvent = lastId;
+        lastProgress = System.nanoTime();
         if (begun) {
             inbound.responder().send(whole);
         } else {
@@ -267,6 +274,23 @@
         return RepeatRule.allows(failure, services.budgets().of(admitted.service()));
     }
 
+    /** Gives the attempt up and sends the request elsewhere if nothing has come for too long and that is allowed. */
+    void checkSilence(long now) {
+        if (current == null) {
+            return;
+        }
+        boolean host = current.upstream().isHost();
+        Duration patience = begun
+                ? SilenceRule.betweenEvents(admitted.route().longestGap(), host)
+                : SilenceRule.beforeAnswer(estimateMillis, host);
+        int left = host ? 0 : endpointsLeft - 1;
+        boolean waits =
+                now - lastProgress < patience.toNanos() || !inbound.responder().isWritable();
+        if (!waits && left > 0 && services.budgets().of(admitted.service()).has()) {
+            current.giveUpSilent();
+        }
+    }
+
     private void deadlinePassed() {
         if (ended) {
             return;
@@ -332,6 +356,7 @@
             return;
         }
         ended = true;
+        services.running().remove(this);
         deadline.cancel(false);
         inbound.body().release();
         String upstream = attempts.isEmpty()
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
@@ -51,11 +52,18 @@
                 view.limiter(),
                 new CallServices.Budgets(repeats.perCall(), repeats.saved()),
                 sent,
+                new LinkedHashSet<>(),
                 log,
                 place.host());
         return new CallService(services, new CallAdmission(view, dialect));
     }
 
+    /** Sends requests elsewhere of which nothing has come for too long; to be called several times a second. */
+    public void checkSilence() {
+        long now = System.nanoTime();
+        List.copyOf(services.running()).forEach(call -> call.checkSilence(now));
+    }
+
     /** Returns the handler of callers' requests. */
     public RequestHandler forCallers() {
         return request -> serve(request, admission::admit, false);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallServices.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallServices.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import org.toucanlane.edge.fleet.CachedPart;
 import org.toucanlane.edge.limit.AccountLimiter;
@@ -19,6 +20,7 @@
  * @param limiter limits of accounts
  * @param budgets repeats that may be sent, by service
  * @param sent hears which endpoint was sent which parts of a prompt
+ * @param running requests that could be sent again if nothing comes of them
  * @param log decisions
  * @param self name of this host
  */
@@ -29,6 +31,7 @@
         AccountLimiter limiter,
         Budgets budgets,
         BiConsumer<String, List<CachedPart>> sent,
+        Set<Call> running,
         DecisionLog log,
         String self) {
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -136,6 +136,10 @@
                 new InetSocketAddress(settings.self().address(), settings.self().hopPort());
         hopServer = HttpServer.open(hop, group, calls.forHosts());
         gossip.start(limiter);
+        freshness.onDoubt(() -> {
+            log.belief("clocks_disagree", "action", "asking the store anew");
+            loop.execute(mirror::restart);
+        });
         fleet.onConfiguration(next -> {
             limiter.configure(next);
             callerServer.limit(next.limits());
@@ -164,11 +168,9 @@
     }
 
     private void keepHouse() {
-        if (!freshness.checkClocks()) {
-            log.belief("clocks_disagree", "action", "asking the store anew");
-            mirror.restart();
-        }
+        freshness.checkClocks();
         fleet.closeExpiredConnections();
+        calls.checkSilence();
     }
 
     /**
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/Freshness.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/Freshness.java
@@ -23,6 +23,7 @@
     private boolean proven;
     private long provenAt;
     private long clockGap;
+    private Runnable onDoubt = () -> {};
 
     /**
      * Creates an expired lease.
@@ -36,6 +37,11 @@
         this.clockGap = clockGap();
     }
 
+    /** Sets what is done when the clocks disagree, so that a new proof is asked for at once. */
+    public void onDoubt(Runnable action) {
+        onDoubt = action;
+    }
+
     private long clockGap() {
         return wallMillis.getAsLong() * NANOS_PER_MILLI - monotonicNanos.getAsLong();
     }
@@ -48,6 +54,7 @@
         }
         clockGap = gap;
         proven = false;
+        onDoubt.run();
         return false;
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
@@ -39,6 +39,8 @@
     private boolean reachable;
     private boolean synced;
     private long generation;
+    private boolean restarted;
+    private long restartedAt;
 
     /**
      * Creates a mirror that has read nothing; {@link #start} makes it begin.
@@ -66,8 +68,17 @@
         readAll(generation, System.nanoTime(), "", new HashSet<>(), 0);
     }
 
-    /** Asks the store anew at once, after the clocks have shown that this process was suspended. */
+    /**
+     * Asks the store anew at once, after the clocks have shown that this process may have been suspended. Has no effect
+     * shortly after it was called before.
+     */
     public void restart() {
+        long now = System.nanoTime();
+        if (restarted && now - restartedAt < RETRY_PAUSE.toNanos()) {
+            return;
+        }
+        restarted = true;
+        restartedAt = now;
         generation++;
         if (synced) {
             watch(generation, Duration.ofMillis(1));
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/retry/RetryBudget.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/retry/RetryBudget.java
@@ -36,6 +36,11 @@
         units.updateAndGet(saved -> Math.min(maxUnits, saved + unitsPerCall));
     }
 
+    /** Returns whether a repeat is left. */
+    public boolean has() {
+        return units.get() >= UNITS_PER_RETRY;
+    }
+
     /** Takes one repeat, and returns whether there was one. */
     public boolean spend() {
         long before = units.getAndUpdate(saved -> saved >= UNITS_PER_RETRY ? saved - UNITS_PER_RETRY : saved);
