Bound what a host sends and asks as the fleet grows

Change: hosts take turns in getting reports (8 in a round), the age at which a report counts follows the turns, an account's part is worked out once a round, and a watch pauses 120 ms after changes.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -7,10 +7,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.toucanlane.domain.outcome.ErrorKind;
 import org.toucanlane.edge.fleet.CachedPart;
 import org.toucanlane.edge.fleet.Fleet;
+import org.toucanlane.edge.fleet.HostHandle;
 import org.toucanlane.edge.http.InboundRequest;
 import org.toucanlane.edge.http.RequestHandler;
 import org.toucanlane.edge.limit.AccountLimiter;
@@ -44,7 +46,7 @@
             Place place,
             RepeatBound repeats,
             BiConsumer<String, List<CachedPart>> sent) {
-        Router router = new Router(view.fleet(), place.region(), RandomGenerator.of("L64X128MixRandom"));
+        Router router = new Router(view.fleet(), place.region(), view.heard(), RandomGenerator.of("L64X128MixRandom"));
         CallServices services = new CallServices(
                 loop,
                 dialect,
@@ -118,8 +120,9 @@
      * @param fleet configuration, endpoints and hosts
      * @param freshness how long it may rely on that
      * @param limiter limits of accounts
+     * @param heard whether a host's reports come as they should
      */
-    public record View(Fleet fleet, Freshness freshness, AccountLimiter limiter) {}
+    public record View(Fleet fleet, Freshness freshness, AccountLimiter limiter, Predicate<HostHandle> heard) {}
 
     /**
      * Where this host is.
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.toucanlane.domain.outcome.ErrorKind;
 import org.toucanlane.domain.serving.ServingService;
@@ -32,9 +33,6 @@
     /** Time that a hop between regions adds: a round trip of two hosts that are far apart. */
     private static final double HOP_MILLIS = 130;
 
-    /** A report that is older tells nothing of a region's load; reports come several times a second. */
-    private static final Duration REPORT_AGE = Duration.ofMillis(1_500);
-
     /** How much faster another region must be to be worth the bytes on the links between regions. */
     private static final double LEAVE_MARGIN_MILLIS = 40;
 
@@ -51,13 +49,20 @@
 
     private final Fleet fleet;
     private final String region;
+    private final Predicate<HostHandle> heard;
     private final RandomGenerator random;
     private final OverloadSpell overload = new OverloadSpell();
     private final Map<RegionService, Long> fullUntil = new HashMap<>();
 
-    Router(Fleet fleet, String region, RandomGenerator random) {
+    /**
+     * Creates a router.
+     *
+     * @param heard whether a host's reports come as they should
+     */
+    Router(Fleet fleet, String region, Predicate<HostHandle> heard, RandomGenerator random) {
         this.fleet = fleet;
         this.region = region;
+        this.heard = heard;
         this.random = random;
     }
 
@@ -181,7 +186,7 @@
         }
         List<HostHandle> reachable = fleet.hosts().stream()
                 .filter(host -> host.entry().region().equals(other)
-                        && host.isHeard(now, REPORT_AGE.toNanos())
+                        && heard.test(host)
                         && !tried.contains(host.entry().name()))
                 .toList();
         if (reachable.isEmpty()) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/HostHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/HostHandle.java
@@ -36,8 +36,8 @@
         return heard && now - heardAt <= nanos;
     }
 
-    /** Returns whether reports came once and have stopped for {@code nanos}. */
-    public boolean hasFallenSilent(long now, long nanos) {
-        return heard && now - heardAt > nanos;
+    /** Returns whether a report has ever come from it. */
+    public boolean wasHeard() {
+        return heard;
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/CachedParts.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/CachedParts.java
@@ -19,36 +19,30 @@
     /** Parts in one report; what exceeds it waits for the next round. */
     private static final int PARTS_PER_REPORT = 16;
 
-    private final int rounds;
-    private final Map<Entry, Integer> left = new HashMap<>();
-
-    /** Creates an empty set whose parts are told in {@code rounds} rounds. */
-    CachedParts(int rounds) {
-        this.rounds = rounds;
-    }
+    private final Map<Entry, Integer> told = new HashMap<>();
 
     /** Adds the parts of a prompt that other requests may share. */
     void add(String endpoint, List<CachedPart> parts) {
         parts.stream()
                 .limit(Math.max(0, parts.size() - 1))
                 .filter(part -> part.tokens() >= LEAST_TOKENS)
-                .forEach(part -> left.put(new Entry(endpoint, part), rounds));
+                .forEach(part -> told.put(new Entry(endpoint, part), 0));
     }
 
     /** Returns what to tell in this round, by endpoint. */
     Map<String, List<CachedPart>> toTell() {
-        Map<String, List<CachedPart>> told = new HashMap<>();
-        left.keySet().stream()
+        Map<String, List<CachedPart>> parts = new HashMap<>();
+        told.keySet().stream()
                 .limit(PARTS_PER_REPORT)
-                .forEach(entry -> told.computeIfAbsent(entry.endpoint(), key -> new ArrayList<>())
+                .forEach(entry -> parts.computeIfAbsent(entry.endpoint(), key -> new ArrayList<>())
                         .add(entry.part()));
-        return told;
+        return parts;
     }
 
-    /** Ends a round. */
-    void nextRound() {
-        left.replaceAll((entry, count) -> count - 1);
-        left.values().removeIf(count -> count <= 0);
+    /** Ends a round; parts that were told in {@code rounds} of them are told no more. */
+    void nextRound(int rounds) {
+        told.replaceAll((entry, count) -> count + 1);
+        told.values().removeIf(count -> count >= rounds);
     }
 
     private record Entry(String endpoint, CachedPart part) {}
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
@@ -13,10 +13,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.toucanlane.edge.fleet.CachedPart;
 import org.toucanlane.edge.fleet.EndpointHandle;
@@ -31,19 +33,32 @@
 /**
  * Sends this host's load to others and takes theirs, as datagrams: what is lost is told anew in the next round.
  *
- * <p>Reports go to the hosts of the region in each round, and to the others in each third, since a region's load matters
- * less from far away. Used on the host's event loop only.
+ * <p>In a small fleet all hosts get each round's report; in a larger one they take turns, those of the region more often,
+ * so that what a host sends does not grow with the fleet. Used on the host's event loop only.
  */
 public final class Gossip implements AccountLimiter.Shares {
 
     /** Time between rounds: a few requests are sent to an endpoint meanwhile. */
     private static final Duration ROUND = Duration.ofMillis(100);
 
-    private static final int ROUNDS_BETWEEN_FAR_REPORTS = 3;
+    /** Hosts above which only every second round is used, since each host then has few requests of its own. */
+    private static final int SMALL_FLEET = 16;
 
-    /** Age at which a report counts no more: several rounds to far hosts, so that single losses do no harm. */
+    /** Hosts of the region that get a report in one round; with more, they take turns. */
+    private static final int NEAR_PER_ROUND = 5;
+
+    /** Hosts of other regions that get a report in one round. */
+    private static final int FAR_PER_ROUND = 3;
+
+    /** Age at which a report counts no more where hosts take no turns: several rounds, so that losses do no harm. */
     private static final Duration REPORT_AGE = Duration.ofMillis(1_500);
 
+    /** Turns of all hosts after which a report counts no more. */
+    private static final int REPORT_TURNS = 3;
+
+    /** Rounds for which an endpoint without requests is still reported, so that its end is heard. */
+    private static final int QUIET_ROUNDS = 20;
+
     /** Endpoints in one datagram, so that it fits into an Ethernet frame. */
     private static final int ENDPOINTS_PER_REPORT = 24;
 
@@ -56,10 +71,14 @@
     private final HostRecord self;
     private final Map<String, Map<String, Double>> demandOfHosts = new HashMap<>();
     private final Map<String, Integer> quietRounds = new HashMap<>();
-    private final CachedParts cached = new CachedParts(2 * ROUNDS_BETWEEN_FAR_REPORTS + 1);
+    private final CachedParts cached = new CachedParts();
     private AccountLimiter limiter;
     private Channel channel;
+    private final Map<String, Double> shares = new HashMap<>();
+    private long reportNanos = REPORT_AGE.toNanos();
     private long rounds;
+    private long nearTurn;
+    private long farTurn;
 
     /** Creates a service that sends nothing yet. */
     public Gossip(EventLoop loop, Fleet fleet, DecisionLog log, HostRecord self) {
@@ -89,17 +108,37 @@
     }
 
     private void round() {
-        boolean far = rounds++ % ROUNDS_BETWEEN_FAR_REPORTS == 0;
-        List<HostHandle> receivers = fleet.hosts().stream()
-                .filter(host -> far || host.entry().region().equals(self.region()))
-                .toList();
+        shares.clear();
+        boolean skipped = fleet.hosts().size() > SMALL_FLEET && rounds++ % 2 != 0;
+        if (skipped) {
+            return;
+        }
+        Map<Boolean, List<HostHandle>> byNearness = fleet.hosts().stream()
+                .collect(Collectors.partitioningBy(host -> host.entry().region().equals(self.region())));
+        List<HostHandle> receivers = new ArrayList<>(turn(byNearness.get(true), NEAR_PER_ROUND, nearTurn));
+        nearTurn += NEAR_PER_ROUND;
+        receivers.addAll(turn(byNearness.get(false), FAR_PER_ROUND, farTurn));
+        farTurn += FAR_PER_ROUND;
         if (!receivers.isEmpty()) {
             reports().forEach(report -> send(report.encode(), receivers));
         }
-        cached.nextRound();
+        int longestTurn = byNearness.get(false).size() / FAR_PER_ROUND + 1;
+        cached.nextRound(2 * longestTurn + 1);
+        long turnNanos = (long) longestTurn * ROUND.toNanos() * (fleet.hosts().size() > SMALL_FLEET ? 2 : 1);
+        reportNanos = Math.max(REPORT_AGE.toNanos(), REPORT_TURNS * turnNanos);
         dropStale();
     }
 
+    /** Returns the next hosts of a list in which hosts take turns. */
+    private static List<HostHandle> turn(List<HostHandle> hosts, int most, long from) {
+        if (hosts.size() <= most) {
+            return hosts;
+        }
+        return IntStream.range(0, most)
+                .mapToObj(i -> hosts.get((int) ((from + i) % hosts.size())))
+                .toList();
+    }
+
     private List<LoadReport> reports() {
         long now = System.nanoTime();
         Map<String, RemoteLoad> loads = new HashMap<>();
@@ -141,7 +180,7 @@
         boolean busy = load.running() > 0 || !load.usable();
         int quiet = busy ? 0 : quietRounds.getOrDefault(endpoint.id(), 0) + 1;
         quietRounds.put(endpoint.id(), quiet);
-        return quiet <= 2 * ROUNDS_BETWEEN_FAR_REPORTS;
+        return quiet <= QUIET_ROUNDS;
     }
 
     private void send(byte[] bytes, List<HostHandle> receivers) {
@@ -154,16 +193,14 @@
     private void dropStale() {
         long now = System.nanoTime();
         fleet.hosts().stream()
-                .filter(host -> !host.isHeard(now, REPORT_AGE.toNanos()))
+                .filter(host -> !host.isHeard(now, reportNanos))
                 .filter(host -> demandOfHosts.remove(host.entry().name()) != null)
                 .forEach(host -> {
                     log.belief("host_silent", "host", host.entry().name());
                     fleet.endpoints()
                             .forEach(endpoint -> endpoint.report(host.entry().name(), null));
                 });
-        if (rounds % 100 == 0) {
-            quietRounds.keySet().removeIf(id -> fleet.endpoint(id).isEmpty());
-        }
+        quietRounds.keySet().removeIf(id -> fleet.endpoint(id).isEmpty());
     }
 
     /** Notes that {@code endpoint} has been sent {@code parts}, so that other hosts send the same ones there. */
@@ -190,12 +227,16 @@
 
     @Override
     public double of(String account) {
-        double own = limiter.demand().getOrDefault(account, 0.0);
+        return shares.computeIfAbsent(account, this::share);
+    }
+
+    private double share(String account) {
+        double own = limiter.demandOf(account);
         long now = System.nanoTime();
         double reachableDemand = own;
         int reachable = 1;
         for (HostHandle host : fleet.hosts()) {
-            if (host.isHeard(now, REPORT_AGE.toNanos())) {
+            if (host.isHeard(now, reportNanos)) {
                 reachable++;
                 reachableDemand += demandOfHosts
                         .getOrDefault(host.entry().name(), Map.of())
@@ -205,6 +246,11 @@
         return LimitShare.of(fleet.hosts().size() + 1, reachable, own, reachableDemand);
     }
 
+    /** Returns whether reports of {@code host} come as they should. */
+    public boolean isHeard(HostHandle host) {
+        return host.isHeard(System.nanoTime(), reportNanos);
+    }
+
     /** Reads datagrams. */
     private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -103,12 +103,12 @@
         this.calls = CallService.create(
                 loop,
                 dialect,
-                new CallService.View(fleet, freshness, limiter),
+                new CallService.View(fleet, freshness, limiter, gossip::isHeard),
                 log,
                 new CallService.Place(name, settings.self().region()),
                 new CallService.RepeatBound(settings.repeatRatio() * REPEAT_PART, saved),
                 gossip::cached);
-        this.directory = new HostDirectory(fleet, settings.self());
+        this.directory = new HostDirectory(fleet, settings.self(), gossip::isHeard);
     }
 
     /**
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostDirectory.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostDirectory.java
@@ -1,7 +1,6 @@
 package org.toucanlane.edge.host;
 
 import com.google.common.collect.ImmutableList;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
@@ -19,19 +18,18 @@
  */
 public final class HostDirectory {
 
-    /** Silence of a neighbour after which callers aren't sent to it: several rounds of reports. */
-    private static final Duration SILENCE = Duration.ofMillis(1_200);
-
     /** Addresses in one answer, which bounds its size. */
     private static final int MOST_ADDRESSES = 64;
 
     private final Fleet fleet;
     private final HostRecord self;
+    private final Predicate<HostHandle> heard;
     private boolean leaving;
 
-    HostDirectory(Fleet fleet, HostRecord self) {
+    HostDirectory(Fleet fleet, HostRecord self, Predicate<HostHandle> heard) {
         this.fleet = fleet;
         this.self = self;
+        this.heard = heard;
     }
 
     /** Leaves this host out of all answers from now on. */
@@ -41,14 +39,13 @@
 
     /** Returns the hosts for a caller of {@code region} that asks for {@code hostName}; empty if none is known. */
     public List<HostRecord> hostsFor(String hostName, String region) {
-        long now = System.nanoTime();
-        List<HostRecord> near = pick(host -> host.region().equals(region), now);
+        List<HostRecord> near = pick(host -> host.region().equals(region));
         if (!near.isEmpty()) {
             return near;
         }
         List<ServingRoute> routes =
                 fleet.configuration().map(current -> current.routesOf(hostName)).orElse(ImmutableList.of());
-        List<HostRecord> all = pick(host -> true, now);
+        List<HostRecord> all = pick(host -> true);
         long most = all.stream()
                 .mapToLong(host -> routesAllowedIn(host.region(), routes))
                 .max()
@@ -64,13 +61,13 @@
                 .count();
     }
 
-    private List<HostRecord> pick(Predicate<HostRecord> wanted, long now) {
+    private List<HostRecord> pick(Predicate<HostRecord> wanted) {
         List<HostRecord> chosen = new ArrayList<>();
         if (!leaving && wanted.test(self)) {
             chosen.add(self);
         }
         fleet.hosts().stream()
-                .filter(host -> wanted.test(host.entry()) && !isLost(host, now))
+                .filter(host -> wanted.test(host.entry()) && !isLost(host))
                 .map(HostHandle::entry)
                 .limit(MOST_ADDRESSES - 1L)
                 .forEach(chosen::add);
@@ -78,7 +75,7 @@
     }
 
     /** A neighbour that has fallen silent is not there for callers of its region either; far silence may be a cut. */
-    private boolean isLost(HostHandle host, long now) {
-        return host.entry().region().equals(self.region()) && host.hasFallenSilent(now, SILENCE.toNanos());
+    private boolean isLost(HostHandle host) {
+        return host.entry().region().equals(self.region()) && host.wasHeard() && !heard.test(host);
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/limit/AccountLimiter.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/limit/AccountLimiter.java
@@ -71,6 +71,12 @@
         return demand;
     }
 
+    /** Returns what callers ask of this host for an account in a second. */
+    public double demandOf(String account) {
+        Bucket bucket = buckets.get(account);
+        return bucket == null ? 0 : bucket.demand(clock.getAsLong());
+    }
+
     /** Returns the part of an account's limit that this host may use now. */
     public double shareOf(String account) {
         return shares.of(account);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
@@ -28,6 +28,9 @@
     /** Pause after a failed call; short against the time that a proof lasts, long against the store's rates. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(250);
 
+    /** Pause after changes, in which others gather; small against the seconds in which they must be in force. */
+    private static final Duration GATHER_TIME = Duration.ofMillis(120);
+
     private final AsyncStore store;
     private final ScheduledExecutorService loop;
     private final Freshness freshness;
@@ -138,7 +141,7 @@
                 reached();
                 apply(changes);
                 freshness.prove(sentAt);
-                watch(round, watchTime);
+                watchAgain(round, changes.changes().isEmpty());
             } else if (reasonOf(failure) == AsyncStoreException.Reason.COMPACTED) {
                 log.belief("store_history_gone", "revision", revision);
                 start();
@@ -149,6 +152,15 @@
         });
     }
 
+    /** Watches on; after changes only when more may have come, since each answer costs a call whatever it brings. */
+    private void watchAgain(long round, boolean atOnce) {
+        if (atOnce) {
+            watch(round, watchTime);
+        } else {
+            later(round, GATHER_TIME, () -> watch(round, watchTime));
+        }
+    }
+
     private void apply(StoreChanges changes) {
         for (StoreChanges.Change change : changes.changes()) {
             if (change.revision() > revision) {
@@ -191,13 +203,17 @@
     }
 
     private void retry(long round, Runnable action) {
+        later(round, RETRY_PAUSE, action);
+    }
+
+    private void later(long round, Duration pause, Runnable action) {
         loop.schedule(
                 () -> {
                     if (round == generation) {
                         action.run();
                     }
                 },
-                RETRY_PAUSE.toMillis(),
+                pause.toMillis(),
                 TimeUnit.MILLISECONDS);
     }
 
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/LoadReportTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/LoadReportTest.java
@@ -34,15 +34,15 @@
 
     @Test
     void tellsSharedPartsForSomeRoundsOnly() {
-        CachedParts parts = new CachedParts(2);
+        CachedParts parts = new CachedParts();
         parts.add(
                 "e",
                 List.of(new CachedPart("long", 13_300), new CachedPart("short", 50), new CachedPart("own", 9_000)));
         Map<String, List<CachedPart>> told = Map.of("e", List.of(new CachedPart("long", 13_300)));
         assertThat(parts.toTell()).isEqualTo(told);
-        parts.nextRound();
+        parts.nextRound(2);
         assertThat(parts.toTell()).isEqualTo(told);
-        parts.nextRound();
+        parts.nextRound(2);
         assertThat(parts.toTell()).isEmpty();
     }
 }
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/host/HostDirectoryTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/host/HostDirectoryTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,13 +28,15 @@
 
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final HostRecord self = host("south-1", "south");
+    private final Set<String> silent = new HashSet<>();
     private Fleet fleet;
     private HostDirectory directory;
 
     @BeforeEach
     void start() {
         fleet = new Fleet(loops.next(), new DecisionLog("test"), self.name(), Map.of());
-        directory = new HostDirectory(fleet, self);
+        directory = new HostDirectory(
+                fleet, self, host -> !silent.contains(host.entry().name()));
         add(host("north-1", "north"));
         add(host("north-2", "north"));
         add(host("east-1", "east"));
@@ -65,6 +68,16 @@
         assertThat(names("west")).containsExactly("east-1");
     }
 
+    @Test
+    void leavesOutANeighbourThatHasFallenSilentButNoFarHost() {
+        add(host("south-2", "south"));
+        fleet.host("south-2").orElseThrow().hear(0);
+        fleet.host("north-1").orElseThrow().hear(0);
+        silent.addAll(Set.of("south-2", "north-1"));
+        assertThat(names("south")).containsExactly("south-1");
+        assertThat(names("north")).contains("north-1");
+    }
+
     @Test
     void leavesItselfOutWhenItLeaves() {
         directory.leave();
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/state/StoreMirrorTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/state/StoreMirrorTest.java
@@ -66,6 +66,9 @@
         assertThat(store.watchedFrom()).isEqualTo(5);
         store.changes(7, put("c", "3", 6), removed("a", 7));
         assertThat(copy).isEqualTo(Map.of("b", "2", "c", "3"));
+        assertThat(store.waiting()).as("a pause in which changes gather").isZero();
+        channel.advanceTimeBy(1, TimeUnit.SECONDS);
+        channel.runScheduledPendingTasks();
         assertThat(store.watchedFrom()).isEqualTo(7);
     }
 
