--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -99,7 +99,9 @@
                 send(remote);
             }
         } catch (CallRefusedException e) {
-            if (mayHaveRun) {
+            if (begun) {
+                breakOff(lastCause);
+            } else if (mayHaveRun) {
                 giveUp(ErrorKind.ENDPOINT_FAILED, Duration.ZERO, lastCause);
             } else {
                 giveUp(e.kind(), e.retryAfter(), String.valueOf(e.getMessage()));
