--- a/toucanlane-wire/src/test/java/org/toucanlane/wire/PeerWireTest.java
+++ b/toucanlane-wire/src/test/java/org/toucanlane/wire/PeerWireTest.java
@@ -32,7 +32,8 @@
 class PeerWireTest {
 
     private static final long WAIT_MILLIS = 10_000;
-    private static final Duration INTERVAL = Duration.ofMillis(50);
+    /** As long as in a host's settings: a link closes after five unanswered heartbeats, and none is meant to here. */
+    private static final Duration INTERVAL = Duration.ofMillis(500);
 
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final Echo echo = new Echo();
