Remove what nothing calls from the new path

Only unused code goes; behaviour stays. Formatter and linter pass, and so do HostTest and seven test classes of toucanlane-edge.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
@@ -20,7 +20,7 @@
 
     @Override
     public void send(FullHttpRequest request, ClientExchange exchange) {
-        endpoint.pool().send(request, false, exchange);
+        endpoint.pool().send(request, exchange);
     }
 
     @Override
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
@@ -18,7 +18,7 @@
 
     @Override
     public void send(FullHttpRequest request, ClientExchange exchange) {
-        host.pool().send(request, false, exchange);
+        host.pool().send(request, exchange);
     }
 
     @Override
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ChannelPool.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ChannelPool.java
@@ -32,7 +32,6 @@
     private final Deque<ClientChannelHandler> idle = new ArrayDeque<>();
     private final Set<ClientChannelHandler> open = new HashSet<>();
     private int opening;
-    private long opened;
     private boolean closed;
 
     /** Creates a pool without connections. */
@@ -44,11 +43,9 @@
 
     /**
      * Sends {@code request} on an idle connection or a new one. The request is released in any case.
-     *
-     * @param fresh whether only a new connection will do
      */
-    public void send(FullHttpRequest request, boolean fresh, ClientExchange exchange) {
-        ClientChannelHandler kept = fresh ? null : takeIdle();
+    public void send(FullHttpRequest request, ClientExchange exchange) {
+        ClientChannelHandler kept = takeIdle();
         if (kept != null) {
             kept.run(request, exchange);
         } else if (closed || open.size() + opening >= settings.maxConnections()) {
@@ -72,7 +69,6 @@
 
     private void connect(FullHttpRequest request, ClientExchange exchange) {
         opening++;
-        opened++;
         ClientChannelHandler handler = new ClientChannelHandler(this, settings.idleTime());
         HttpDecoderConfig decoding = new HttpDecoderConfig().setMaxHeaderSize(settings.maxHeaderBytes());
         Bootstrap bootstrap = new Bootstrap()
@@ -132,21 +128,6 @@
         idle.stream().toList().forEach(ClientChannelHandler::close);
     }
 
-    /** Returns the number of connections that are open or being opened. */
-    public int connections() {
-        return open.size() + opening;
-    }
-
-    /** Returns how many connections this pool has begun to open. */
-    public long opened() {
-        return opened;
-    }
-
-    /** Returns whether a kept connection is free. */
-    public boolean hasIdle() {
-        return !idle.isEmpty();
-    }
-
     /** A call whose connection is still being made. */
     private static final class PendingCall implements ClientCall {
 
@@ -161,10 +142,5 @@
         public void setReading(boolean reading) {
             // Nothing can be read before the connection is made.
         }
-
-        @Override
-        public boolean isReused() {
-            return false;
-        }
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientCall.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientCall.java
@@ -8,7 +8,4 @@
 
     /** Pauses or resumes reading of the answer, for a receiver that can't keep up. */
     void setReading(boolean reading);
-
-    /** Returns whether the connection had carried a request before. */
-    boolean isReused();
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -37,7 +37,6 @@
     private boolean keepAlive;
     private boolean foreign;
     private boolean tainted;
-    private int exchanges;
     private long usableUntil;
     private long idleNanos;
 
@@ -58,7 +57,6 @@
         written = false;
         answering = false;
         keepAlive = false;
-        exchanges++;
         receiver.started(this);
         if (exchange != receiver) {
             request.release();
@@ -193,9 +191,4 @@
     public void setReading(boolean reading) {
         context.channel().config().setAutoRead(reading);
     }
-
-    @Override
-    public boolean isReused() {
-        return exchanges > 1;
-    }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -104,26 +104,11 @@
         leaving = true;
     }
 
-    /** Stops listening; connections stay. */
-    public void stopListening() {
-        channel.close();
-    }
-
-    /** Closes the connections that carry no request. */
-    public void closeIdle() {
-        connections.stream().toList().forEach(ServerChannelHandler::closeIfIdle);
-    }
-
     /** Returns how many connections carry a request. */
     public long busyConnections() {
         return connections.stream().filter(ServerChannelHandler::isBusy).count();
     }
 
-    /** Returns how many connections are open. */
-    public int connections() {
-        return connections.size();
-    }
-
     boolean isLeaving() {
         return leaving;
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -191,13 +191,6 @@
         }
     }
 
-    /** Closes the connection unless a request is being read or answered. */
-    void closeIfIdle() {
-        if (answering == null && head == null) {
-            context.close();
-        }
-    }
-
     boolean isBusy() {
         return answering != null || head != null;
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/WholeAnswer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/WholeAnswer.java
@@ -35,7 +35,7 @@
     public static CompletableFuture<Answer> of(
             ChannelPool pool, EventLoop loop, FullHttpRequest request, Duration time) {
         WholeAnswer exchange = new WholeAnswer(loop, time);
-        pool.send(request, false, exchange);
+        pool.send(request, exchange);
         return exchange.result;
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
@@ -227,16 +227,6 @@
                 : AsyncStoreException.Reason.UNAVAILABLE;
     }
 
-    /** Returns the revision up to which the copy is complete. */
-    public long revision() {
-        return revision;
-    }
-
-    /** Returns whether the last call was answered. */
-    public boolean isReachable() {
-        return reachable;
-    }
-
     /** Hears of changes of the copy. */
     public interface Listener {
 
