Let hosts draw on what others hold of an account's limit

The limit is divided between hosts by demand. One prompt of 17,000 tokens leaves its host in debt for a second while other hosts hold plenty, and a host whose bucket was full dropped what came in, though others were in debt. Buckets also began to fill with the first request, not with the process.

Ruled out: endpoints full (3 refusals), the account above its limit (99 requests not owed).

Change: reports tell what a bucket holds. A host in debt draws on what others hold, each on a part as large as its part of the limit; a bucket fills beyond its room while all together lack something. On both sides of a cut only what is reachable counts.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
@@ -65,7 +65,7 @@
                                 Locale.ROOT,
                                 "account %s has used up this host's part of its limit, %.3f; it asked for %d",
                                 name,
-                                limiter.shareOf(name),
+                                limiter.shareOf(name).part(),
                                 cost));
             }
         }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +28,8 @@
 import org.toucanlane.edge.fleet.HostRecord;
 import org.toucanlane.edge.fleet.RemoteLoad;
 import org.toucanlane.edge.limit.AccountLimiter;
+import org.toucanlane.edge.limit.AccountShare;
+import org.toucanlane.edge.limit.AccountUse;
 import org.toucanlane.edge.telemetry.DecisionLog;
 import org.toucanlane.policy.share.LimitShare;
 
@@ -69,12 +72,12 @@
     private final Fleet fleet;
     private final DecisionLog log;
     private final HostRecord self;
-    private final Map<String, Map<String, Double>> demandOfHosts = new HashMap<>();
+    private final Map<String, Map<String, AccountUse>> usesOfHosts = new HashMap<>();
     private final Map<String, Integer> quietRounds = new HashMap<>();
     private final CachedParts cached = new CachedParts();
     private AccountLimiter limiter;
     private Channel channel;
-    private final Map<String, Double> shares = new HashMap<>();
+    private final Map<String, AccountShare> shares = new HashMap<>();
     private long reportNanos = REPORT_AGE.toNanos();
     private long rounds;
     private long nearTurn;
@@ -147,12 +150,12 @@
                         fleet.regionOf(endpoint.entry().dataCentre()).equals(self.region()))
                 .filter(this::isWorthTelling)
                 .forEach(endpoint -> loads.put(endpoint.id(), endpoint.ownLoad(now)));
-        Map<String, Double> demand = new HashMap<>();
-        limiter.demand().entrySet().stream()
-                .filter(entry -> entry.getValue() >= 1)
-                .sorted(Map.Entry.<String, Double>comparingByValue().reversed())
+        Map<String, AccountUse> uses = new HashMap<>();
+        limiter.uses().entrySet().stream()
+                .filter(entry -> entry.getValue().demand() >= 1)
+                .sorted(Comparator.comparing(entry -> -entry.getValue().demand()))
                 .limit(ACCOUNTS_PER_REPORT)
-                .forEach(entry -> demand.put(entry.getKey(), entry.getValue()));
+                .forEach(entry -> uses.put(entry.getKey(), entry.getValue()));
         List<Map.Entry<String, RemoteLoad>> all = List.copyOf(loads.entrySet());
         int parts = Math.max(1, (all.size() + ENDPOINTS_PER_REPORT - 1) / ENDPOINTS_PER_REPORT);
         return IntStream.range(0, parts)
@@ -160,7 +163,7 @@
                         self.name(),
                         self.incarnation(),
                         part(all, part),
-                        part == 0 ? demand : Map.of(),
+                        part == 0 ? uses : Map.of(),
                         part == 0 ? cached.toTell() : Map.of()))
                 .toList();
     }
@@ -194,7 +197,7 @@
         long now = System.nanoTime();
         fleet.hosts().stream()
                 .filter(host -> !host.isHeard(now, reportNanos))
-                .filter(host -> demandOfHosts.remove(host.entry().name()) != null)
+                .filter(host -> usesOfHosts.remove(host.entry().name()) != null)
                 .forEach(host -> {
                     log.belief("host_silent", "host", host.entry().name());
                     fleet.endpoints()
@@ -214,8 +217,8 @@
                 .filter(host -> host.entry().incarnation() == report.incarnation())
                 .ifPresent(host -> {
                     host.hear(System.nanoTime());
-                    if (!report.demand().isEmpty() || !demandOfHosts.containsKey(report.host())) {
-                        demandOfHosts.put(report.host(), report.demand());
+                    if (!report.uses().isEmpty() || !usesOfHosts.containsKey(report.host())) {
+                        usesOfHosts.put(report.host(), report.uses());
                     }
                     report.cached()
                             .forEach((id, parts) -> fleet.endpoint(id).ifPresent(endpoint -> endpoint.cache(parts)));
@@ -226,24 +229,23 @@
     }
 
     @Override
-    public double of(String account) {
+    public AccountShare of(String account) {
         return shares.computeIfAbsent(account, this::share);
     }
 
-    private double share(String account) {
-        double own = limiter.demandOf(account);
+    private AccountShare share(String account) {
         long now = System.nanoTime();
-        double reachableDemand = own;
-        int reachable = 1;
-        for (HostHandle host : fleet.hosts()) {
-            if (host.isHeard(now, reportNanos)) {
-                reachable++;
-                reachableDemand += demandOfHosts
-                        .getOrDefault(host.entry().name(), Map.of())
-                        .getOrDefault(account, 0.0);
-            }
-        }
-        return LimitShare.of(fleet.hosts().size() + 1, reachable, own, reachableDemand);
+        List<HostHandle> reachable = fleet.hosts().stream()
+                .filter(host -> host.isHeard(now, reportNanos))
+                .toList();
+        AccountUse others = reachable.stream()
+                .map(host ->
+                        usesOfHosts.getOrDefault(host.entry().name(), Map.of()).getOrDefault(account, AccountUse.NONE))
+                .reduce(AccountUse.NONE, AccountUse::plus);
+        int hosts = fleet.hosts().size() + 1;
+        double own = limiter.demandOf(account);
+        double part = LimitShare.of(hosts, reachable.size() + 1, own, own + others.demand());
+        return new AccountShare(part, (reachable.size() + 1.0) / hosts, others.level());
     }
 
     /** Returns whether reports of {@code host} come as they should. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/LoadReport.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/LoadReport.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import org.toucanlane.edge.fleet.CachedPart;
 import org.toucanlane.edge.fleet.RemoteLoad;
+import org.toucanlane.edge.limit.AccountUse;
 
 /**
  * What one host tells others of itself several times a second.
@@ -20,14 +21,14 @@
  * @param host the host
  * @param incarnation number of its process
  * @param endpoints what it has running, by endpoint
- * @param demand what callers ask of it in a second, by account
+ * @param uses what it has used and holds of accounts' limits
  * @param cached prompt parts that it has lately sent to endpoints, by endpoint
  */
 public record LoadReport(
         String host,
         long incarnation,
         Map<String, RemoteLoad> endpoints,
-        Map<String, Double> demand,
+        Map<String, AccountUse> uses,
         Map<String, List<CachedPart>> cached) {
 
     private static final JsonFactory JSON = new JsonFactory();
@@ -36,7 +37,7 @@
     /** Creates a report. */
     public LoadReport {
         endpoints = Map.copyOf(endpoints);
-        demand = Map.copyOf(demand);
+        uses = Map.copyOf(uses);
         cached = Map.copyOf(cached);
     }
 
@@ -57,9 +58,11 @@
                 json.writeArray(values, 0, values.length);
             }
             json.writeEndObject();
-            json.writeObjectFieldStart("demand");
-            for (Map.Entry<String, Double> entry : demand.entrySet()) {
-                json.writeNumberField(entry.getKey(), Math.round(entry.getValue()));
+            json.writeObjectFieldStart("uses");
+            for (Map.Entry<String, AccountUse> entry : uses.entrySet()) {
+                AccountUse use = entry.getValue();
+                json.writeFieldName(entry.getKey());
+                json.writeArray(new long[] {Math.round(use.demand()), Math.round(use.level())}, 0, 2);
             }
             json.writeEndObject();
             json.writeObjectFieldStart("cached");
@@ -90,14 +93,12 @@
         }
         Map<String, RemoteLoad> endpoints = new HashMap<>();
         node.path("endpoints").properties().forEach(entry -> endpoints.put(entry.getKey(), loadOf(entry.getValue())));
-        Map<String, Double> demand = new HashMap<>();
-        node.path("demand")
-                .properties()
-                .forEach(entry -> demand.put(entry.getKey(), entry.getValue().asDouble()));
+        Map<String, AccountUse> uses = new HashMap<>();
+        node.path("uses").properties().forEach(entry -> uses.put(entry.getKey(), useOf(entry.getValue())));
         Map<String, List<CachedPart>> cached = new HashMap<>();
         node.path("cached").properties().forEach(entry -> cached.put(entry.getKey(), partsOf(entry.getValue())));
         return new LoadReport(
-                node.path("host").asText(), node.path("incarnation").asLong(), endpoints, demand, cached);
+                node.path("host").asText(), node.path("incarnation").asLong(), endpoints, uses, cached);
     }
 
     private static List<CachedPart> partsOf(JsonNode parts) {
@@ -106,6 +107,10 @@
                 .toList();
     }
 
+    private static AccountUse useOf(JsonNode values) {
+        return new AccountUse(values.path(0).asLong(), values.path(1).asLong());
+    }
+
     private static RemoteLoad loadOf(JsonNode values) {
         return new RemoteLoad(
                 values.path(0).asInt(),
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/limit/AccountLimiter.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/limit/AccountLimiter.java
@@ -11,9 +11,13 @@
 /**
  * This host's part of each account's limit, as a token bucket whose rate follows the account's demand here.
  *
- * <p>Invariants: a bucket starts empty, so a restart brings no second burst; a request is admitted while the bucket is
- * not empty and may leave it in debt, so a request larger than this host's part can still run. Used on one event loop
- * only.
+ * <p>Load pattern: few large requests among many small ones, on hosts that each hold a part of the limit. A large one
+ * leaves its host in debt while other hosts have plenty, so a host in debt may also draw on what the others report,
+ * each host on a part of it that is as large as its part of the limit. What is drawn stays as a debt here.
+ *
+ * <p>Invariants: buckets are empty when the process starts, so a restart brings no second burst; a request is admitted
+ * while there is anything to draw on, and may leave the bucket in debt, so a request larger than this host's part can
+ * still run. Used on one event loop only.
  */
 public final class AccountLimiter {
 
@@ -29,12 +33,14 @@
 
     private final LongSupplier clock;
     private final Shares shares;
+    private final long startedAt;
     private final Map<String, Bucket> buckets = new HashMap<>();
 
-    /** Creates a limiter without accounts. */
+    /** Creates a limiter without accounts, whose buckets begin to fill now. */
     public AccountLimiter(LongSupplier clock, Shares shares) {
         this.clock = clock;
         this.shares = shares;
+        this.startedAt = clock.getAsLong();
     }
 
     /** Drops the accounts that {@code next} does not know. */
@@ -51,8 +57,9 @@
         if (!account.isLimited()) {
             return Optional.empty();
         }
-        Bucket bucket = buckets.computeIfAbsent(account.name(), key -> new Bucket(clock.getAsLong()));
-        return bucket.charge(account, cost, shares.of(account.name()), clock.getAsLong());
+        Bucket bucket = buckets.computeIfAbsent(account.name(), key -> new Bucket(account, startedAt));
+        bucket.account = account;
+        return bucket.charge(cost, shares.of(account.name()), clock.getAsLong());
     }
 
     /** Gives back what was charged for a request that was not sent to an endpoint. */
@@ -63,12 +70,15 @@
         }
     }
 
-    /** Returns what callers ask of this host in a second, by account. */
-    public Map<String, Double> demand() {
+    /** Returns what this host has used and holds, by account. */
+    public Map<String, AccountUse> uses() {
         long now = clock.getAsLong();
-        Map<String, Double> demand = new HashMap<>();
-        buckets.forEach((name, bucket) -> demand.put(name, bucket.demand(now)));
-        return demand;
+        Map<String, AccountUse> uses = new HashMap<>();
+        buckets.forEach((name, bucket) -> {
+            bucket.fill(shares.of(name), now);
+            uses.put(name, new AccountUse(bucket.demand(now), bucket.level));
+        });
+        return uses;
     }
 
     /** Returns what callers ask of this host for an account in a second. */
@@ -77,46 +87,55 @@
         return bucket == null ? 0 : bucket.demand(clock.getAsLong());
     }
 
-    /** Returns the part of an account's limit that this host may use now. */
-    public double shareOf(String account) {
+    /** Returns what this host may use of an account's limit now. */
+    public AccountShare shareOf(String account) {
         return shares.of(account);
     }
 
-    /** Tells which part of an account's limit this host may use. */
+    /** Tells what this host may use of an account's limit. */
     public interface Shares {
 
-        /** Returns the part, from 0 to 1. */
-        double of(String account);
+        /** Returns what it may use now. */
+        AccountShare of(String account);
     }
 
     /** One account's part. */
     private static final class Bucket {
 
+        private ServingAccount account;
         private double level;
         private long filledAt;
         private double demandPerSecond;
         private long demandAt;
 
-        private Bucket(long now) {
+        private Bucket(ServingAccount account, long now) {
+            this.account = account;
             filledAt = now;
             demandAt = now;
         }
 
-        private Optional<Duration> charge(ServingAccount account, long cost, double share, long now) {
+        private Optional<Duration> charge(long cost, AccountShare share, long now) {
             note(cost, now);
-            double rate = account.ratePerSecond() * share;
-            double room = account.burst() * share * BURST_PART;
-            level = Math.min(room, level + rate * (now - filledAt) / NANOS_PER_SECOND);
-            filledAt = now;
-            if (level > 0) {
+            fill(share, now);
+            if (level + share.drawable() > 0) {
                 level -= cost;
                 return Optional.empty();
             }
-            Duration wait =
-                    Duration.ofNanos((long) (Math.min(60, (1 - level) / Math.max(rate, 1e-6)) * NANOS_PER_SECOND));
+            double rate = account.ratePerSecond() * share.part();
+            double missing = 1 - level - share.drawable();
+            Duration wait = Duration.ofNanos((long) (Math.min(60, missing / Math.max(rate, 1e-6)) * NANOS_PER_SECOND));
             return Optional.of(wait.compareTo(SHORTEST_WAIT) < 0 ? SHORTEST_WAIT : wait);
         }
 
+        /** Adds what has come since, up to this host's part of the burst or, if that is more, to what all together lack. */
+        private void fill(AccountShare share, long now) {
+            double added = account.ratePerSecond() * share.part() * (now - filledAt) / NANOS_PER_SECOND;
+            filledAt = now;
+            double all = account.burst() * BURST_PART;
+            double lacking = Math.min(all, all * share.reachablePart() - share.levelElsewhere());
+            level = Math.min(level + added, Math.max(all * share.part(), lacking));
+        }
+
         private void note(long cost, long now) {
             demandPerSecond = demand(now) + cost / DEMAND_SECONDS;
             demandAt = now;
--- /dev/null
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/limit/AccountUse.java
@@ -0,0 +1,18 @@
+package org.toucanlane.edge.limit;
+
+/**
+ * What one host has used and holds of an account's limit.
+ *
+ * @param demand what callers have asked of the host lately, in a second
+ * @param level what its bucket holds; negative if it is in debt
+ */
+public record AccountUse(double demand, double level) {
+
+    /** Nothing used and nothing held. */
+    public static final AccountUse NONE = new AccountUse(0, 0);
+
+    /** Returns the sum of both. */
+    public AccountUse plus(AccountUse other) {
+        return new AccountUse(demand + other.demand, level + other.level);
+    }
+}
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/LoadReportTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/LoadReportTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.toucanlane.edge.fleet.CachedPart;
 import org.toucanlane.edge.fleet.RemoteLoad;
+import org.toucanlane.edge.limit.AccountUse;
 
 class LoadReportTest {
 
@@ -19,7 +20,7 @@
                 "h",
                 7,
                 Map.of("e", new RemoteLoad(1, 2, 3, true, 1.25)),
-                Map.of("acme", 12.0),
+                Map.of("acme", new AccountUse(12, -700)),
                 Map.of("e", List.of(new CachedPart("m/ab", 13_300))));
         assertThat(LoadReport.decode(report.encode())).isEqualTo(report);
     }
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/limit/AccountLimiterTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/limit/AccountLimiterTest.java
@@ -5,10 +5,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.toucanlane.domain.serving.LimitUnit;
 import org.toucanlane.domain.serving.ServingAccount;
+import org.toucanlane.policy.share.LimitShare;
 
 class AccountLimiterTest {
 
@@ -20,9 +22,13 @@
 
     private long now;
 
+    private static AccountShare alone(double part) {
+        return new AccountShare(part, part, 0);
+    }
+
     @Test
     void startsEmptySoThatARestartBringsNoBurst() {
-        AccountLimiter limiter = new AccountLimiter(() -> now, name -> 1);
+        AccountLimiter limiter = new AccountLimiter(() -> now, name -> alone(1));
         assertThat(limiter.charge(account, 100)).isPresent();
         now += 1_000_000_000L;
         assertThat(limiter.charge(account, 100)).isEmpty();
@@ -30,7 +36,7 @@
 
     @Test
     void takesARequestThatIsLargerThanThisHostsPartAndPaysForIt() {
-        AccountLimiter limiter = new AccountLimiter(() -> now, name -> 0.1);
+        AccountLimiter limiter = new AccountLimiter(() -> now, name -> alone(0.1));
         limiter.charge(account, 1);
         now += 1_000_000_000L;
         assertThat(limiter.charge(account, 5_000)).isEmpty();
@@ -42,7 +48,7 @@
 
     @Test
     void givesBackWhatDidNotRun() {
-        AccountLimiter limiter = new AccountLimiter(() -> now, name -> 1);
+        AccountLimiter limiter = new AccountLimiter(() -> now, name -> alone(1));
         limiter.charge(account, 1);
         now += 1_000_000_000L;
         assertThat(limiter.charge(account, 9_999)).isEmpty();
@@ -57,7 +63,7 @@
         double[] shares = {0.7, 0.1, 0.1, 0.1};
         List<AccountLimiter> hosts = new ArrayList<>();
         for (double share : shares) {
-            hosts.add(new AccountLimiter(() -> now, name -> share));
+            hosts.add(new AccountLimiter(() -> now, name -> alone(share)));
         }
         long cost = 380;
         long[] admitted = new long[40];
@@ -75,4 +81,87 @@
             assertThat((double) sum).isGreaterThan(from < 2 ? 0 : RATE * 8 * 0.97);
         }
     }
+
+    /**
+     * Replays large prompts among small ones on eight hosts, together at nearly the whole limit, each at a host picked
+     * at random; what hosts know of each other is up to a fifth of a second old.
+     */
+    @Test
+    void refusesNothingBelowTheLimitThoughLargeRequestsLeaveTheirHostsInDebt() {
+        Replay replay = new Replay(8, 5);
+        replay.run(40, 0.85);
+        assertThat(replay.refused).isLessThan(replay.asked / 100);
+    }
+
+    /** Replays an account at 7.5 times its limit, as the hosts' part of the fleet's bound allows. */
+    @Test
+    void keepsHostsThatDrawOnEachOtherWithinTheBound() {
+        Replay replay = new Replay(8, 6);
+        replay.run(40, 7.5);
+        for (int from = 2; from + 8 <= 40; from++) {
+            double sum = 0;
+            for (int second = from; second < from + 8; second++) {
+                sum += replay.admitted[second];
+            }
+            assertThat(sum).isLessThanOrEqualTo((REPLAY_RATE * 8 + REPLAY_RATE) * 1.1 + 190_000);
+            assertThat(sum).isGreaterThan(REPLAY_RATE * 8 * 0.95);
+        }
+    }
+
+    private static final double REPLAY_RATE = 250_000;
+
+    /** Hosts that tell each other five times a second what they have used. */
+    private final class Replay {
+
+        private final ServingAccount large = new ServingAccount(
+                "large", OptionalInt.empty(), REPLAY_RATE, REPLAY_RATE, LimitUnit.TOKENS, 200, Set.of());
+        private final List<AccountLimiter> hosts = new ArrayList<>();
+        private final List<AccountUse> reports = new ArrayList<>();
+        private final Random random;
+        private final double[] admitted = new double[60];
+        private long asked;
+        private long refused;
+
+        private Replay(int count, long seed) {
+            random = new Random(seed);
+            for (int i = 0; i < count; i++) {
+                int self = i;
+                reports.add(AccountUse.NONE);
+                hosts.add(new AccountLimiter(() -> now, name -> shareOf(self)));
+            }
+        }
+
+        private AccountShare shareOf(int self) {
+            AccountUse others = AccountUse.NONE;
+            for (int i = 0; i < hosts.size(); i++) {
+                others = i == self ? others : others.plus(reports.get(i));
+            }
+            double own = hosts.get(self).demandOf("large");
+            double part = LimitShare.of(hosts.size(), hosts.size(), own, own + others.demand());
+            return new AccountShare(part, 1, others.level());
+        }
+
+        private void run(int seconds, double times) {
+            double meanCost = 0.1 * 17_000 + 0.9 * 400;
+            double perMilli = REPLAY_RATE * times / meanCost / 1_000;
+            for (int millis = 0; millis < seconds * 1_000; millis++) {
+                now = millis * 1_000_000L;
+                if (millis % 25 == 0) {
+                    int host = millis / 25 % hosts.size();
+                    reports.set(host, hosts.get(host).uses().getOrDefault("large", AccountUse.NONE));
+                }
+                for (double due = perMilli; random.nextDouble() < due; due--) {
+                    ask(millis, random.nextInt(10) == 0 ? 17_000 : 400);
+                }
+            }
+        }
+
+        private void ask(int millis, long cost) {
+            AccountLimiter host = hosts.get(random.nextInt(hosts.size()));
+            boolean taken = host.charge(large, cost).isEmpty();
+            admitted[millis / 1_000] += taken ? cost : 0;
+            asked += millis < 2_000 ? 0 : 1;
+            refused += taken || millis < 2_000 ? 0 : 1;
+        }
+    }
 }
