Gather reports at relays, and let one host of a region watch the store

Cause: each host told others its load directly and watched the store itself, so reports and calls grew with the fleet.

Change: hosts tell the relays of their region what they have running; a relay tells the others the sum, less their own part by the round that they have told, and tells other regions its sum. Reports are compact binary. One host of a region watches the store; the others take its proof by the sending time of the report that it acknowledges, and ask the store themselves when they lack a revision or the proof gets old. After a suspension no earlier report is acknowledged.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -206,7 +206,7 @@
         List<PlacementCandidate> candidates = fleet.endpointsOf(call.service()).stream()
                 .filter(endpoint ->
                         fleet.regionOf(endpoint.entry().dataCentre()).equals(other)
-                                && endpoint.isUsable(now)
+                                && endpoint.isUsableElsewhere(now)
                                 && !endpoint.isCold(now)
                                 && !fleet.isEvacuated(endpoint.entry().dataCentre()))
                 .map(endpoint -> new PlacementCandidate(endpoint.load(now), endpoint.cachedTokensOf(parts)))
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.toucanlane.coordination.hash.RendezvousHash;
 import org.toucanlane.domain.serving.EndpointEntry;
 import org.toucanlane.edge.http.ChannelPool;
@@ -56,7 +57,7 @@
     private final ChannelPool pool;
     private final long idHash;
     private final EndpointHealth health = new EndpointHealth(FAILURES_TO_EJECT, FIRST_EJECTION, LONGEST_EJECTION);
-    private final Map<String, RemoteLoad> remote = new LinkedHashMap<>();
+    private final Map<String, Told> told = new LinkedHashMap<>();
     private final LinkedHashMap<String, Long> cachedParts = new LinkedHashMap<>(64, 0.75f, true);
     private EndpointEntry entry;
     private long memoryTokens;
@@ -235,50 +236,73 @@
         return failureRate * decay(now - failureRateAt, FAILURE_HALF_LIFE);
     }
 
-    /** Takes another host's report of what it has running here; null if the host is gone. */
-    public void report(String host, RemoteLoad load) {
-        if (load == null) {
-            remote.remove(host);
-        } else {
-            remote.put(host, load);
-        }
+    /** Takes what {@code source}, a host or all hosts of a region, has running here. */
+    public void report(String source, RemoteLoad load, long now) {
+        told.put(source, new Told(load, now));
+    }
+
+    /** Drops what {@code source} has told. */
+    public void dropReport(String source) {
+        told.remove(source);
+    }
+
+    /** Drops all that others have told. */
+    public void dropReports() {
+        told.clear();
+    }
+
+    /** Drops what was told before {@code time}. */
+    public void dropReportsBefore(long time) {
+        told.values().removeIf(load -> load.at() - time < 0);
+    }
+
+    /** Returns what {@code source} has told and what was not dropped since. */
+    public Optional<RemoteLoad> toldBy(String source) {
+        return Optional.ofNullable(told.get(source)).map(Told::load);
     }
 
     /** Returns its load with the reports of other hosts. */
     public EndpointLoad load(long now) {
-        int allRunning = running;
-        double slownessSum = slowness(now);
-        long allPending = pendingTokens;
-        long allUsed = usedTokens;
-        for (RemoteLoad load : remote.values()) {
-            allRunning += load.running();
-            allPending += load.pendingTokens();
-            allUsed += load.usedTokens();
-            slownessSum += load.slowness();
-        }
+        RemoteLoad all = loadOfAll(now);
         return new EndpointLoad(
                 entry.id(),
                 idHash,
                 entry.slots(),
-                allRunning,
-                allPending,
-                allUsed,
+                all.running(),
+                all.pendingTokens(),
+                all.usedTokens(),
                 memoryTokens,
-                slownessSum / (remote.size() + 1),
+                all.slowness(),
                 failureRate(now),
                 serviceMillis);
     }
 
     /** Returns what this host has running on it, and thinks of it. */
     public RemoteLoad ownLoad(long now) {
-        return new RemoteLoad(running, pendingTokens, usedTokens, isUsable(now), slowness(now));
+        return new RemoteLoad(running, pendingTokens, usedTokens, isUsable(now), slowness(now), 1);
+    }
+
+    /** Returns what this host and all that have told of it have running on it. */
+    public RemoteLoad loadOfAll(long now) {
+        RemoteLoad all = ownLoad(now);
+        for (Told load : told.values()) {
+            all = all.plus(load.load());
+        }
+        return all;
     }
 
     /** Returns whether the hosts that can reach it would send requests there now, as far as they have told. */
     public boolean isUsableElsewhere(long now) {
-        return isUsable(now) && remote.values().stream().allMatch(RemoteLoad::usable);
+        return isUsable(now) && told.values().stream().map(Told::load).allMatch(RemoteLoad::usable);
+    }
+
+    /** Returns the number that stands for it in reports between hosts. */
+    public int tag() {
+        return (int) idHash;
     }
 
+    private record Told(RemoteLoad load, long at) {}
+
     /** Returns its newest entry. */
     public EndpointEntry entry() {
         return entry;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Fleet.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Fleet.java
@@ -63,6 +63,8 @@
     private final Map<String, EndpointHandle> endpoints = new HashMap<>();
     private final Map<String, List<EndpointHandle>> byService = new HashMap<>();
     private final Map<String, HostHandle> hosts = new HashMap<>();
+    private final Map<Integer, EndpointHandle> endpointsByTag = new HashMap<>();
+    private final Map<Integer, HostHandle> hostsByTag = new HashMap<>();
     private final Set<String> evacuated = new HashSet<>();
     private final Set<String> lapsedEntries = new HashSet<>();
     private final List<Consumer<ServingConfiguration>> configurationListeners = new ArrayList<>();
@@ -92,10 +94,12 @@
         return configuration.get().map(Versioned::value);
     }
 
-    /** Notes that the store can be reached again after a time in which it could not. */
-    public void storeReturned() {
-        storeWasAway = true;
-        storeReturnedAt = System.nanoTime();
+    /** Notes that at {@code time} the store could be reached again after a time in which it could not. */
+    public void storeReturned(long time) {
+        if (!storeWasAway || time - storeReturnedAt > 0) {
+            storeWasAway = true;
+            storeReturnedAt = time;
+        }
     }
 
     @Override
@@ -158,6 +162,7 @@
         ChannelPool pool = new ChannelPool(new InetSocketAddress(entry.address(), entry.port()), loop, settings);
         EndpointHandle handle = new EndpointHandle(entry, pool, memoryOf(entry.service()));
         endpoints.put(entry.id(), handle);
+        endpointsByTag.put(handle.tag(), handle);
         index(handle);
         log.belief(
                 "endpoint_added",
@@ -192,6 +197,7 @@
     private void retire(EndpointHandle handle, String why) {
         handle.leave();
         endpoints.remove(handle.id(), handle);
+        endpointsByTag.remove(handle.tag(), handle);
         List<EndpointHandle> siblings = byService.get(handle.entry().service());
         if (siblings != null) {
             siblings.remove(handle);
@@ -228,15 +234,18 @@
         }
         if (known != null) {
             hosts.remove(name);
+            hostsByTag.remove(HostHandle.tagOf(name));
             known.pool().close();
-            endpoints.values().forEach(endpoint -> endpoint.report(name, null));
+            endpoints.values().forEach(endpoint -> endpoint.dropReport(name));
             log.belief("host_removed", "host", name);
         }
         entry.ifPresent(record -> {
             PoolSettings settings =
                     new PoolSettings(HOST_CONNECT_TIMEOUT, HOST_IDLE_TIME, HOST_CONNECTIONS, MAX_HEADER_BYTES);
             InetSocketAddress address = new InetSocketAddress(record.address(), record.hopPort());
-            hosts.put(name, new HostHandle(record, new ChannelPool(address, loop, settings)));
+            HostHandle handle = new HostHandle(record, new ChannelPool(address, loop, settings));
+            hosts.put(name, handle);
+            hostsByTag.put(HostHandle.tagOf(name), handle);
             log.belief("host_added", "host", name, "region", record.region());
         });
     }
@@ -280,6 +289,16 @@
         return Optional.ofNullable(hosts.get(name));
     }
 
+    /** Returns the endpoint that {@code tag} stands for in reports, or empty if none is known. */
+    public Optional<EndpointHandle> endpointOfTag(int tag) {
+        return Optional.ofNullable(endpointsByTag.get(tag));
+    }
+
+    /** Returns the other host that {@code tag} stands for in reports, or empty if it holds no lease. */
+    public Optional<HostHandle> hostOfTag(int tag) {
+        return Optional.ofNullable(hostsByTag.get(tag));
+    }
+
     /** Returns whether endpoints of {@code dataCentre} are to get nothing. */
     public boolean isEvacuated(String dataCentre) {
         return evacuated.contains(dataCentre);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/HostHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/HostHandle.java
@@ -1,5 +1,6 @@
 package org.toucanlane.edge.fleet;
 
+import org.toucanlane.coordination.hash.RendezvousHash;
 import org.toucanlane.edge.http.ChannelPool;
 
 /** Another host, with connections for requests that run there. Used on the event loop only. */
@@ -25,10 +26,17 @@
         return pool;
     }
 
-    /** Notes that a report has come from it. */
-    public void hear(long now) {
-        heardAt = now;
-        heard = true;
+    /** Returns the number that stands for a host of that name in reports between hosts. */
+    public static int tagOf(String name) {
+        return (int) RendezvousHash.hash(name);
+    }
+
+    /** Notes that it, or a host that hears it, has reported at {@code time}. */
+    public void hear(long time) {
+        if (!heard || time - heardAt > 0) {
+            heardAt = time;
+            heard = true;
+        }
     }
 
     /** Returns whether a report has come within {@code nanos}. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
@@ -14,13 +14,17 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.toucanlane.edge.fleet.CachedPart;
 import org.toucanlane.edge.fleet.EndpointHandle;
 import org.toucanlane.edge.fleet.Fleet;
@@ -30,14 +34,17 @@
 import org.toucanlane.edge.limit.AccountLimiter;
 import org.toucanlane.edge.limit.AccountShare;
 import org.toucanlane.edge.limit.AccountUse;
+import org.toucanlane.edge.state.StoreMirror;
 import org.toucanlane.edge.telemetry.DecisionLog;
-import org.toucanlane.policy.share.LimitShare;
+import org.toucanlane.policy.relay.RelayChooser;
 
 /**
- * Sends this host's load to others and takes theirs, as datagrams: what is lost is told anew in the next round.
+ * Exchanges reports between hosts, as datagrams: what is lost is told anew in the next round.
  *
- * <p>In a small fleet all hosts get each round's report; in a larger one they take turns, those of the region more often,
- * so that what a host sends does not grow with the fleet. Used on the host's event loop only.
+ * <p>Each host tells the relays of its region what it has running. A relay tells the other hosts of its region the sum,
+ * and what it has heard of other regions, and tells the relays of other regions its own region's sum. So what a host
+ * sends and takes does not grow with the number of hosts, except at relays, where it grows with their region. Used on the
+ * host's event loop only.
  */
 public final class Gossip implements AccountLimiter.Shares {
 
@@ -47,48 +54,47 @@
     /** Hosts above which only every second round is used, since each host then has few requests of its own. */
     private static final int SMALL_FLEET = 16;
 
-    /** Hosts of the region that get a report in one round; with more, they take turns. */
-    private static final int NEAR_PER_ROUND = 5;
-
-    /** Hosts of other regions that get a report in one round. */
-    private static final int FAR_PER_ROUND = 3;
+    /** Rounds for which an endpoint without requests is still reported, so that its end is heard. */
+    private static final int QUIET_ROUNDS = 10;
 
-    /** Age at which a report counts no more where hosts take no turns: several rounds, so that losses do no harm. */
-    private static final Duration REPORT_AGE = Duration.ofMillis(1_500);
+    /** Bytes of one datagram, so that it fits into an Ethernet frame. */
+    private static final int DATAGRAM_BYTES = 1_300;
 
-    /** Turns of all hosts after which a report counts no more. */
-    private static final int REPORT_TURNS = 3;
+    /** Endpoints in one part of a report, which is never split further. */
+    private static final int ENDPOINTS_PER_PART = 40;
 
-    /** Rounds for which an endpoint without requests is still reported, so that its end is heard. */
-    private static final int QUIET_ROUNDS = 20;
+    /** Relays that tell others what they have gathered; where there are more, all others are relays too. */
+    private static final int MOST_GATHERERS = 2;
 
-    /** Endpoints in one datagram, so that it fits into an Ethernet frame. */
-    private static final int ENDPOINTS_PER_REPORT = 24;
-
-    /** Accounts in one report: those with the largest demand. */
-    private static final int ACCOUNTS_PER_REPORT = 24;
+    /** Rounds between two reports to other regions, and of other regions: they matter less, and the links cost. */
+    private static final int FAR_ROUNDS = 2;
 
     private final EventLoop loop;
     private final Fleet fleet;
     private final DecisionLog log;
     private final HostRecord self;
-    private final Map<String, Map<String, AccountUse>> usesOfHosts = new HashMap<>();
-    private final Map<String, Integer> quietRounds = new HashMap<>();
+    private final StoreMirror mirror;
+    private final SentReports sent = new SentReports();
+    private final HeardReports heard;
     private final CachedParts cached = new CachedParts();
+    private final Map<Integer, Integer> quietRounds = new HashMap<>();
+    private final Set<String> silent = new HashSet<>();
+    private final Map<String, AccountShare> shares = new HashMap<>();
     private AccountLimiter limiter;
     private Channel channel;
-    private final Map<String, AccountShare> shares = new HashMap<>();
-    private long reportNanos = REPORT_AGE.toNanos();
+    private List<String> relays = List.of();
+    private boolean relay;
+    private long ticks;
     private long rounds;
-    private long nearTurn;
-    private long farTurn;
 
     /** Creates a service that sends nothing yet. */
-    public Gossip(EventLoop loop, Fleet fleet, DecisionLog log, HostRecord self) {
+    public Gossip(EventLoop loop, Fleet fleet, DecisionLog log, HostRecord self, StoreMirror mirror) {
         this.loop = loop;
         this.fleet = fleet;
         this.log = log;
         this.self = self;
+        this.mirror = mirror;
+        this.heard = new HeardReports(fleet, self.region(), self.name(), sent);
     }
 
     /**
@@ -112,145 +118,313 @@
 
     private void round() {
         shares.clear();
-        boolean skipped = fleet.hosts().size() > SMALL_FLEET && rounds++ % 2 != 0;
+        boolean skipped = fleet.hosts().size() > SMALL_FLEET && ticks++ % 2 != 0;
         if (skipped) {
             return;
         }
-        Map<Boolean, List<HostHandle>> byNearness = fleet.hosts().stream()
-                .collect(Collectors.partitioningBy(host -> host.entry().region().equals(self.region())));
-        List<HostHandle> receivers = new ArrayList<>(turn(byNearness.get(true), NEAR_PER_ROUND, nearTurn));
-        nearTurn += NEAR_PER_ROUND;
-        receivers.addAll(turn(byNearness.get(false), FAR_PER_ROUND, farTurn));
-        farTurn += FAR_PER_ROUND;
+        long now = System.nanoTime();
+        rounds++;
+        heard.dropStale(now);
+        noteSilence(now);
+        Map<String, List<HostHandle>> byRegion = fleet.hosts().stream()
+                .collect(Collectors.groupingBy(host -> host.entry().region()));
+        List<HostHandle> near = byRegion.getOrDefault(self.region(), List.of());
+        chooseRelays(near);
+        tellOwn(near, now);
+        if (relay) {
+            tellGathered(near, byRegion, now);
+        }
+        cached.nextRound();
+        quietRounds.keySet().removeIf(tag -> fleet.endpointOfTag(tag).isEmpty());
+    }
+
+    private void noteSilence(long now) {
+        silent.removeIf(name -> fleet.host(name).isEmpty());
+        fleet.hosts().stream().filter(HostHandle::wasHeard).forEach(host -> {
+            String name = host.entry().name();
+            if (!isHeard(host, now) && silent.add(name)) {
+                log.belief("host_silent", "host", name);
+            } else if (isHeard(host, now) && silent.remove(name)) {
+                log.belief("host_heard_again", "host", name);
+            }
+        });
+    }
+
+    private void chooseRelays(List<HostHandle> near) {
+        List<String> chosen =
+                RelayChooser.choose(Stream.concat(Stream.of(self), near.stream().map(HostHandle::entry))
+                        .map(host -> new RelayChooser.Candidate(host.name(), host.weight()))
+                        .toList());
+        if (!chosen.equals(relays)) {
+            relays = chosen;
+            boolean now = chosen.contains(self.name());
+            if (now != relay) {
+                heard.forgetNear();
+            }
+            relay = now;
+            mirror.relyOnOthers(!chosen.get(0).equals(self.name()));
+            log.belief("relays_chosen", "region", self.region(), "relays", chosen, "self", relay);
+        }
+    }
+
+    private void tellOwn(List<HostHandle> near, long now) {
+        Map<Integer, RemoteLoad> loads = loads(endpoint -> endpoint.ownLoad(now), !relay);
+        Map<String, AccountUse> uses = largest(limiter.uses());
+        sent.add(new SentReports.Sent(rounds, now, loads, uses));
+        List<HostHandle> receivers = near.stream()
+                .filter(host -> relays.contains(host.entry().name()))
+                .toList();
         if (!receivers.isEmpty()) {
-            reports().forEach(report -> send(report.encode(), receivers));
+            RegionReport whole = new RegionReport(
+                    self.region(),
+                    0,
+                    true,
+                    Set.of(HostHandle.tagOf(self.name())),
+                    loads,
+                    uses,
+                    cached.toTell(this::isNear));
+            datagrams(split(whole)).forEach(bytes -> send(bytes, false, receivers));
         }
-        int longestTurn = byNearness.get(false).size() / FAR_PER_ROUND + 1;
-        cached.nextRound(2 * longestTurn + 1);
-        long turnNanos = (long) longestTurn * ROUND.toNanos() * (fleet.hosts().size() > SMALL_FLEET ? 2 : 1);
-        reportNanos = Math.max(REPORT_AGE.toNanos(), REPORT_TURNS * turnNanos);
-        dropStale();
     }
 
-    /** Returns the next hosts of a list in which hosts take turns. */
-    private static List<HostHandle> turn(List<HostHandle> hosts, int most, long from) {
-        if (hosts.size() <= most) {
-            return hosts;
+    /** Tells other hosts of the region the sum, by turns with the other relay, and the relays of other regions too. */
+    private void tellGathered(List<HostHandle> near, Map<String, List<HostHandle>> byRegion, long now) {
+        int turn = relays.indexOf(self.name());
+        int turns = Math.min(relays.size(), MOST_GATHERERS);
+        if (turn >= turns) {
+            return;
         }
-        return IntStream.range(0, most)
-                .mapToObj(i -> hosts.get((int) ((from + i) % hosts.size())))
+        HeardReports.View others = heard.near(now);
+        Set<Integer> hosts = new HashSet<>(others.hosts());
+        hosts.add(HostHandle.tagOf(self.name()));
+        Map<String, AccountUse> uses = new HashMap<>(others.uses());
+        limiter.uses().forEach((account, use) -> uses.merge(account, use, AccountUse::plus));
+        RegionReport whole = new RegionReport(
+                self.region(),
+                0,
+                true,
+                hosts,
+                loads(endpoint -> endpoint.loadOfAll(now), true),
+                largest(uses),
+                cached.toTell(this::isNear));
+        List<RegionReport> own = split(whole);
+        List<HostHandle> members = near.stream()
+                .filter(host -> !relays.contains(host.entry().name()))
                 .toList();
+        if (!members.isEmpty() && rounds % turns == turn) {
+            boolean withFar = rounds / turns % FAR_ROUNDS == turn % FAR_ROUNDS;
+            List<RegionReport> all = withFar
+                    ? Stream.concat(own.stream(), farReports(now).stream()).toList()
+                    : own;
+            datagrams(all).forEach(bytes -> send(bytes, true, members));
+        }
+        if (rounds % (turns * FAR_ROUNDS) == (long) turn * FAR_ROUNDS) {
+            List<HostHandle> farRelays = byRegion.entrySet().stream()
+                    .filter(entry -> !entry.getKey().equals(self.region()))
+                    .flatMap(entry -> relaysOf(entry.getValue()))
+                    .toList();
+            datagrams(own).forEach(bytes -> send(bytes, true, farRelays));
+        }
     }
 
-    private List<LoadReport> reports() {
-        long now = System.nanoTime();
-        Map<String, RemoteLoad> loads = new HashMap<>();
+    private static Stream<HostHandle> relaysOf(List<HostHandle> hosts) {
+        List<String> names = RelayChooser.choose(hosts.stream()
+                .map(host -> new RelayChooser.Candidate(
+                        host.entry().name(), host.entry().weight()))
+                .toList());
+        return hosts.stream().filter(host -> names.contains(host.entry().name()));
+    }
+
+    private List<RegionReport> farReports(long now) {
+        return heard.far().entrySet().stream()
+                .flatMap(entry -> {
+                    String source = HeardReports.sourceOf(entry.getKey());
+                    Map<Integer, RemoteLoad> loads = new HashMap<>();
+                    fleet.endpoints()
+                            .forEach(endpoint ->
+                                    endpoint.toldBy(source).ifPresent(load -> loads.put(endpoint.tag(), load)));
+                    HeardReports.View view = entry.getValue();
+                    return split(new RegionReport(
+                                    entry.getKey(),
+                                    TimeUnit.NANOSECONDS.toMillis(now - view.at()),
+                                    true,
+                                    view.hosts(),
+                                    loads,
+                                    view.uses(),
+                                    cached.toTell(tag -> isIn(tag, entry.getKey()))))
+                            .stream();
+                })
+                .toList();
+    }
+
+    private boolean isNear(int tag) {
+        return isIn(tag, self.region());
+    }
+
+    private boolean isIn(int tag, String region) {
+        return fleet.endpointOfTag(tag)
+                .filter(endpoint ->
+                        fleet.regionOf(endpoint.entry().dataCentre()).equals(region))
+                .isPresent();
+    }
+
+    /** Returns the loads of this region's endpoints that have requests, or had some a few rounds ago. */
+    private Map<Integer, RemoteLoad> loads(Function<EndpointHandle, RemoteLoad> loadOf, boolean counts) {
+        Map<Integer, RemoteLoad> loads = new HashMap<>();
         fleet.endpoints().stream()
                 .filter(endpoint ->
                         fleet.regionOf(endpoint.entry().dataCentre()).equals(self.region()))
-                .filter(this::isWorthTelling)
-                .forEach(endpoint -> loads.put(endpoint.id(), endpoint.ownLoad(now)));
-        Map<String, AccountUse> uses = new HashMap<>();
-        limiter.uses().entrySet().stream()
+                .forEach(endpoint -> {
+                    RemoteLoad load = loadOf.apply(endpoint);
+                    int quiet = load.isBusy() ? 0 : quietRounds.getOrDefault(endpoint.tag(), 0) + (counts ? 1 : 0);
+                    if (counts) {
+                        quietRounds.put(endpoint.tag(), quiet);
+                    }
+                    if (quiet <= QUIET_ROUNDS) {
+                        loads.put(endpoint.tag(), load);
+                    }
+                });
+        return loads;
+    }
+
+    private static Map<String, AccountUse> largest(Map<String, AccountUse> uses) {
+        return uses.entrySet().stream()
                 .filter(entry -> entry.getValue().demand() >= 1)
                 .sorted(Comparator.comparing(entry -> -entry.getValue().demand()))
-                .limit(ACCOUNTS_PER_REPORT)
-                .forEach(entry -> uses.put(entry.getKey(), entry.getValue()));
-        List<Map.Entry<String, RemoteLoad>> all = List.copyOf(loads.entrySet());
-        int parts = Math.max(1, (all.size() + ENDPOINTS_PER_REPORT - 1) / ENDPOINTS_PER_REPORT);
-        return IntStream.range(0, parts)
-                .mapToObj(part -> new LoadReport(
-                        self.name(),
-                        self.incarnation(),
-                        part(all, part),
-                        part == 0 ? uses : Map.of(),
-                        part == 0 ? cached.toTell() : Map.of()))
-                .toList();
+                .limit(HeardReports.ACCOUNTS_PER_REPORT)
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
     }
 
-    private static Map<String, RemoteLoad> part(List<Map.Entry<String, RemoteLoad>> all, int part) {
-        Map<String, RemoteLoad> loads = new HashMap<>();
-        all.stream()
-                .skip((long) part * ENDPOINTS_PER_REPORT)
-                .limit(ENDPOINTS_PER_REPORT)
-                .forEach(entry -> loads.put(entry.getKey(), entry.getValue()));
-        return loads;
+    /** Divides a report into parts that fit into a datagram each. */
+    private static List<RegionReport> split(RegionReport whole) {
+        List<RegionReport> parts = new ArrayList<>();
+        List<Map.Entry<Integer, RemoteLoad>> loads =
+                List.copyOf(whole.endpoints().entrySet());
+        int from = 0;
+        do {
+            Map<Integer, RemoteLoad> some = loads.stream()
+                    .skip(from)
+                    .limit(ENDPOINTS_PER_PART)
+                    .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+            boolean first = from == 0;
+            parts.add(new RegionReport(
+                    whole.region(),
+                    whole.ageMillis(),
+                    first,
+                    first ? whole.hosts() : Set.of(),
+                    some,
+                    first ? whole.uses() : Map.of(),
+                    first ? whole.cached() : Map.of()));
+            from += ENDPOINTS_PER_PART;
+        } while (from < loads.size());
+        return parts;
     }
 
-    /** Returns whether an endpoint has requests of this host, or had some in the last far round. */
-    private boolean isWorthTelling(EndpointHandle endpoint) {
-        RemoteLoad load = endpoint.ownLoad(System.nanoTime());
-        boolean busy = load.running() > 0 || !load.usable();
-        int quiet = busy ? 0 : quietRounds.getOrDefault(endpoint.id(), 0) + 1;
-        quietRounds.put(endpoint.id(), quiet);
-        return quiet <= QUIET_ROUNDS;
+    /** Returns the bytes of {@code parts} without their headers, in as few datagrams as they fit into. */
+    private static List<byte[]> datagrams(List<RegionReport> parts) {
+        List<byte[]> datagrams = new ArrayList<>();
+        List<RegionReport> open = new ArrayList<>();
+        int bytes = 0;
+        for (RegionReport part : parts) {
+            int more = FleetReport.encode(List.of(part)).length;
+            if (!open.isEmpty() && bytes + more > DATAGRAM_BYTES) {
+                datagrams.add(FleetReport.encode(open));
+                open.clear();
+                bytes = 0;
+            }
+            open.add(part);
+            bytes += more;
+        }
+        datagrams.add(FleetReport.encode(open));
+        return datagrams;
     }
 
-    private void send(byte[] bytes, List<HostHandle> receivers) {
-        receivers.forEach(host -> channel.write(new DatagramPacket(
-                Unpooled.wrappedBuffer(bytes),
-                new InetSocketAddress(host.entry().address(), host.entry().gossipPort()))));
+    private void send(byte[] regions, boolean gathered, Collection<HostHandle> receivers) {
+        receivers.forEach(host -> {
+            FleetReport.Header header = new FleetReport.Header(
+                    HostHandle.tagOf(self.name()),
+                    self.incarnation(),
+                    rounds,
+                    heard.roundOf(host.entry().name()),
+                    gathered,
+                    mirror.knowledge());
+            channel.write(new DatagramPacket(
+                    Unpooled.wrappedBuffer(FleetReport.encode(header, regions)),
+                    new InetSocketAddress(host.entry().address(), host.entry().gossipPort())));
+        });
         channel.flush();
     }
 
-    private void dropStale() {
-        long now = System.nanoTime();
-        fleet.hosts().stream()
-                .filter(host -> !host.isHeard(now, reportNanos))
-                .filter(host -> usesOfHosts.remove(host.entry().name()) != null)
-                .forEach(host -> {
-                    log.belief("host_silent", "host", host.entry().name());
-                    fleet.endpoints()
-                            .forEach(endpoint -> endpoint.report(host.entry().name(), null));
-                });
-        quietRounds.keySet().removeIf(id -> fleet.endpoint(id).isEmpty());
-    }
-
     /** Notes that {@code endpoint} has been sent {@code parts}, so that other hosts send the same ones there. */
     public void cached(String endpoint, List<CachedPart> parts) {
-        cached.add(endpoint, parts);
+        fleet.endpoint(endpoint).ifPresent(handle -> cached.addPrompt(handle.tag(), parts));
+    }
+
+    /** Lets no answer to an earlier report count, since this process may have been suspended. */
+    public void forgetSent() {
+        sent.clear();
     }
 
     /** Takes a report of another host. */
-    void take(LoadReport report) {
-        fleet.host(report.host())
-                .filter(host -> host.entry().incarnation() == report.incarnation())
-                .ifPresent(host -> {
-                    host.hear(System.nanoTime());
-                    if (!report.uses().isEmpty() || !usesOfHosts.containsKey(report.host())) {
-                        usesOfHosts.put(report.host(), report.uses());
-                    }
-                    report.cached()
-                            .forEach((id, parts) -> fleet.endpoint(id).ifPresent(endpoint -> endpoint.cache(parts)));
-                    report.endpoints()
-                            .forEach((id, load) ->
-                                    fleet.endpoint(id).ifPresent(endpoint -> endpoint.report(report.host(), load)));
-                });
+    void take(FleetReport report) {
+        FleetReport.Header header = report.header();
+        fleet.hostOfTag(header.host())
+                .filter(host -> host.entry().incarnation() == header.incarnation())
+                .ifPresent(host -> take(host, report, System.nanoTime()));
+    }
+
+    private void take(HostHandle host, FleetReport report, long now) {
+        host.hear(now);
+        FleetReport.Header header = report.header();
+        boolean near = host.entry().region().equals(self.region());
+        if (near) {
+            sent.of(header.acknowledged()).ifPresent(own -> mirror.heard(header.knowledge(), own.sentAt()));
+        }
+        if (!header.gathered()) {
+            heard.takeOwn(host, report, now);
+        } else {
+            report.regions().forEach(part -> takeGathered(near, report, part, now));
+        }
+        report.regions()
+                .forEach(part -> part.cached()
+                        .forEach((tag, parts) -> fleet.endpointOfTag(tag).ifPresent(endpoint -> {
+                            endpoint.cache(parts);
+                            if (relay) {
+                                cached.add(tag, parts);
+                            }
+                        })));
+    }
+
+    private void takeGathered(boolean near, FleetReport report, RegionReport part, long now) {
+        boolean ofOwnRegion = part.region().equals(self.region());
+        if (!ofOwnRegion) {
+            heard.takeFar(part, now);
+        } else if (near && !relay) {
+            heard.takeGathered(report, part, now);
+        }
     }
 
     @Override
     public AccountShare of(String account) {
-        return shares.computeIfAbsent(account, this::share);
+        return shares.computeIfAbsent(
+                account, name -> heard.shareOf(name, limiter.demandOf(name), relay, System.nanoTime()));
     }
 
-    private AccountShare share(String account) {
-        long now = System.nanoTime();
-        List<HostHandle> reachable = fleet.hosts().stream()
-                .filter(host -> host.isHeard(now, reportNanos))
-                .toList();
-        AccountUse others = reachable.stream()
-                .map(host ->
-                        usesOfHosts.getOrDefault(host.entry().name(), Map.of()).getOrDefault(account, AccountUse.NONE))
-                .reduce(AccountUse.NONE, AccountUse::plus);
-        int hosts = fleet.hosts().size() + 1;
-        double own = limiter.demandOf(account);
-        double part = LimitShare.of(hosts, reachable.size() + 1, own, own + others.demand());
-        return new AccountShare(part, (reachable.size() + 1.0) / hosts, others.level());
+    /** Returns whether reports of {@code host}, or of one that hears it, come as they should. */
+    public boolean isHeard(HostHandle host) {
+        return isHeard(host, System.nanoTime());
     }
 
-    /** Returns whether reports of {@code host} come as they should. */
-    public boolean isHeard(HostHandle host) {
-        return host.isHeard(System.nanoTime(), reportNanos);
+    /**
+     * Returns whether {@code host} of this region is there, as far as reports tell: it is heard, or nothing can be said
+     * since no relay is.
+     */
+    public boolean isThere(HostHandle host) {
+        return isHeard(host) || !relay && !heard.hearsRelay();
+    }
+
+    private static boolean isHeard(HostHandle host, long now) {
+        return host.isHeard(now, HeardReports.REPORT_AGE.toNanos());
     }
 
     /** Reads datagrams. */
@@ -259,7 +433,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             try {
-                take(LoadReport.decode(ByteBufUtil.getBytes(packet.content())));
+                take(FleetReport.decode(ByteBufUtil.getBytes(packet.content())));
             } catch (IOException e) {
                 log.belief("report_unreadable", "sender", packet.sender(), "reason", String.valueOf(e.getMessage()));
             }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -37,8 +37,8 @@
     /** Part of the time to revoke a key for which an answer of the store is relied on; the rest covers its delay. */
     private static final double PROOF_PART = 0.62;
 
-    /** Watches that fit into the time for which an answer is relied on, so that one may be lost. */
-    private static final int WATCHES_PER_PROOF = 3;
+    /** Watches that fit into the time for which an answer is relied on: others may rely on one that is two old. */
+    private static final int WATCHES_PER_PROOF = 4;
 
     /** How long a host's record outlives its process: two lost renewals. */
     private static final Duration LEASE_TIME = Duration.ofMillis(2_500);
@@ -97,7 +97,7 @@
                 store, loop, freshness, log, new MirrorListener(documents), validity.dividedBy(WATCHES_PER_PROOF));
         this.lease = new HostLease(
                 store, loop, log, documents.hostKey(name), settings.self().encode(), LEASE_TIME);
-        this.gossip = new Gossip(loop, fleet, log, settings.self());
+        this.gossip = new Gossip(loop, fleet, log, settings.self(), mirror);
         this.limiter = new AccountLimiter(System::nanoTime, gossip);
         int saved = Math.max(1, (int) (settings.repeatExtra() * REPEAT_PART / MOST_HOSTS));
         this.calls = CallService.create(
@@ -108,7 +108,7 @@
                 new CallService.Place(name, settings.self().region()),
                 new CallService.RepeatBound(settings.repeatRatio() * REPEAT_PART, saved),
                 gossip::cached);
-        this.directory = new HostDirectory(fleet, settings.self(), gossip::isHeard);
+        this.directory = new HostDirectory(fleet, settings.self(), gossip::isThere);
     }
 
     /**
@@ -138,6 +138,7 @@
         gossip.start(limiter);
         freshness.onDoubt(() -> {
             log.belief("clocks_disagree", "action", "asking the store anew");
+            gossip.forgetSent();
             loop.execute(mirror::restart);
         });
         fleet.onConfiguration(next -> {
@@ -276,9 +277,14 @@
         @Override
         public void reachable(boolean nowReachable) {
             if (nowReachable && wasReachable) {
-                fleet.storeReturned();
+                fleet.storeReturned(System.nanoTime());
             }
             wasReachable = true;
         }
+
+        @Override
+        public void returnedElsewhere(long time) {
+            fleet.storeReturned(time);
+        }
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostDirectory.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostDirectory.java
@@ -23,13 +23,13 @@
 
     private final Fleet fleet;
     private final HostRecord self;
-    private final Predicate<HostHandle> heard;
+    private final Predicate<HostHandle> there;
     private boolean leaving;
 
-    HostDirectory(Fleet fleet, HostRecord self, Predicate<HostHandle> heard) {
+    HostDirectory(Fleet fleet, HostRecord self, Predicate<HostHandle> there) {
         this.fleet = fleet;
         this.self = self;
-        this.heard = heard;
+        this.there = there;
     }
 
     /** Leaves this host out of all answers from now on. */
@@ -76,6 +76,6 @@
 
     /** A neighbour that has fallen silent is not there for callers of its region either; far silence may be a cut. */
     private boolean isLost(HostHandle host) {
-        return host.entry().region().equals(self.region()) && host.wasHeard() && !heard.test(host);
+        return host.entry().region().equals(self.region()) && host.wasHeard() && !there.test(host);
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/limit/AccountUse.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/limit/AccountUse.java
@@ -15,4 +15,9 @@
     public AccountUse plus(AccountUse other) {
         return new AccountUse(demand + other.demand, level + other.level);
     }
+
+    /** Returns what is left without {@code part}, which was counted in this. */
+    public AccountUse without(AccountUse part) {
+        return new AccountUse(Math.max(0, demand - part.demand), level - part.level);
+    }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
@@ -21,7 +21,11 @@
  *
  * <p>A watch that returns proves that nothing older than its sending is missing, so it also renews the
  * {@link Freshness} of the copy. When the history that a watch needs is gone, everything is read anew and compared.
- * While the store is away, the copy stays as it is. Used on one event loop only.
+ * While the store is away, the copy stays as it is.
+ *
+ * <p>Most hosts of a region leave the watching to one of them: what that one tells of its revision and of the age of its
+ * proof is a proof for them too, if they have that revision; otherwise they ask the store once. When the proof gets old
+ * they watch themselves. Used on one event loop only.
  */
 public final class StoreMirror {
 
@@ -31,6 +35,18 @@
     /** Pause after changes, in which others gather; small against the seconds in which they must be in force. */
     private static final Duration GATHER_TIME = Duration.ofMillis(120);
 
+    /** How often a host that leaves the watching to others looks at what they have told; they tell it as often. */
+    private static final Duration RELY_PAUSE = Duration.ofMillis(250);
+
+    /** Wait of a watch for changes that are known to be there; the shortest. */
+    private static final Duration CATCH_UP_WAIT = Duration.ofMillis(1);
+
+    /** Age, in watches, at which the proof of others is too old: theirs is up to two watches old when they renew it. */
+    private static final int RELIED_WATCHES = 3;
+
+    /** Time for which others are told that the store has returned: entries that lapsed meanwhile are back by then. */
+    private static final Duration RETURN_TOLD = Duration.ofSeconds(3);
+
     private final AsyncStore store;
     private final ScheduledExecutorService loop;
     private final Freshness freshness;
@@ -44,6 +60,10 @@
     private long generation;
     private boolean restarted;
     private long restartedAt;
+    private boolean relies;
+    private long heardRevision;
+    private boolean returned;
+    private long returnedAt;
 
     /**
      * Creates a mirror that has read nothing; {@link #start} makes it begin.
@@ -128,7 +148,7 @@
         freshness.prove(sentAt);
         log.belief("store_read", "keys", seen.size(), "revision", from);
         listener.synced();
-        watch(round, watchTime);
+        next(round);
     }
 
     private void watch(long round, Duration wait) {
@@ -147,7 +167,7 @@
                 start();
             } else {
                 failed(failure);
-                retry(round, () -> watch(round, watchTime));
+                retry(round, () -> next(round));
             }
         });
     }
@@ -155,12 +175,56 @@
     /** Watches on; after changes only when more may have come, since each answer costs a call whatever it brings. */
     private void watchAgain(long round, boolean atOnce) {
         if (atOnce) {
+            next(round);
+        } else {
+            later(round, GATHER_TIME, () -> next(round));
+        }
+    }
+
+    /** Watches, unless other hosts do it for this one and nothing new is known to have been written. */
+    private void next(long round) {
+        boolean behind = heardRevision > revision;
+        boolean fresh = freshness.holds() && freshness.ageMillis() < RELIED_WATCHES * watchTime.toMillis();
+        if (!relies) {
             watch(round, watchTime);
+        } else if (behind || !fresh) {
+            watch(round, CATCH_UP_WAIT);
         } else {
-            later(round, GATHER_TIME, () -> watch(round, watchTime));
+            later(round, RELY_PAUSE, () -> next(round));
         }
     }
 
+    /** Sets whether this host leaves the watching to others of its region as long as they tell it what they know. */
+    public void relyOnOthers(boolean rely) {
+        relies = rely;
+    }
+
+    /**
+     * Takes what another host says that it knows of the store.
+     *
+     * @param knowledge what it knows
+     * @param askedAt a time, by the monotonic clock, that was before the other host's answer
+     */
+    public void heard(StoreKnowledge knowledge, long askedAt) {
+        if (!synced || knowledge.ageMillis() < 0) {
+            return;
+        }
+        heardRevision = Math.max(heardRevision, knowledge.revision());
+        if (knowledge.revision() <= revision) {
+            freshness.prove(askedAt - TimeUnit.MILLISECONDS.toNanos(knowledge.ageMillis()));
+        }
+        if (knowledge.returnedMillis() >= 0) {
+            listener.returnedElsewhere(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(knowledge.returnedMillis()));
+        }
+    }
+
+    /** Returns what this host knows of the store, for {@link #heard} of others. */
+    public StoreKnowledge knowledge() {
+        long age = freshness.holds() ? freshness.ageMillis() : -1;
+        long since = returned ? TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - returnedAt) : -1;
+        return new StoreKnowledge(revision, age, since <= RETURN_TOLD.toMillis() ? since : -1);
+    }
+
     private void apply(StoreChanges changes) {
         for (StoreChanges.Change change : changes.changes()) {
             if (change.revision() > revision) {
@@ -187,6 +251,8 @@
     private void reached() {
         if (!reachable) {
             reachable = true;
+            returned = synced;
+            returnedAt = System.nanoTime();
             log.belief("store_regained", "revision", revision);
             listener.reachable(true);
         }
@@ -238,5 +304,8 @@
 
         /** The store can be reached again, or no longer. */
         void reachable(boolean nowReachable);
+
+        /** Another host has told that it could reach the store again at {@code time}, by the monotonic clock. */
+        default void returnedElsewhere(long time) {}
     }
 }
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/fleet/FleetTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/fleet/FleetTest.java
@@ -66,7 +66,7 @@
     @Test
     void keepsAnEndpointForAWhileWhoseEntryMayOnlyHaveLapsed() {
         fleet.endpoint("e", Optional.of(entry("e", "s", State.READY, 1)));
-        fleet.storeReturned();
+        fleet.storeReturned(System.nanoTime());
         fleet.endpoint("e", Optional.empty());
         assertThat(fleet.endpoint("e")).isPresent();
         fleet.endpoint("e", Optional.of(entry("e", "s", State.READY, 1)));
@@ -77,7 +77,7 @@
     @Test
     void dropsADrainingEndpointAtOnceEvenAfterAnOutage() {
         fleet.endpoint("e", Optional.of(entry("e", "s", State.DRAINING, 1)));
-        fleet.storeReturned();
+        fleet.storeReturned(System.nanoTime());
         fleet.endpoint("e", Optional.empty());
         assertThat(fleet.endpoint("e")).isEmpty();
     }
@@ -112,9 +112,9 @@
         fleet.endpoint("e", Optional.of(entry("e", "s", State.READY, 1)));
         EndpointHandle handle = fleet.endpoint("e").orElseThrow();
         assertThat(handle.isUsableElsewhere(System.nanoTime())).isTrue();
-        handle.report("neighbour", new RemoteLoad(0, 0, 0, false, 1));
+        handle.report("neighbour", new RemoteLoad(0, 0, 0, false, 1, 1), System.nanoTime());
         assertThat(handle.isUsableElsewhere(System.nanoTime())).isFalse();
-        handle.report("neighbour", null);
+        handle.dropReport("neighbour");
         assertThat(handle.isUsableElsewhere(System.nanoTime())).isTrue();
     }
 
@@ -123,7 +123,7 @@
         fleet.endpoint("e", Optional.of(entry("e", "s", State.READY, 1)));
         EndpointHandle handle = fleet.endpoint("e").orElseThrow();
         Reservation own = new Reservation(handle, List.of(), 100, 300, 50);
-        handle.report("neighbour", new RemoteLoad(2, 1_000, 4_000, true, 1));
+        handle.report("neighbour", new RemoteLoad(2, 1_000, 4_000, true, 1, 1), System.nanoTime());
         assertThat(handle.load(System.nanoTime()).running()).isEqualTo(3);
         assertThat(handle.load(System.nanoTime()).pendingTokens()).isEqualTo(1_100);
         own.firstAnswer();
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/state/StoreMirrorTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/state/StoreMirrorTest.java
@@ -117,6 +117,74 @@
         assertThat(copy).containsEntry("a", "1");
     }
 
+    @Test
+    void leavesTheWatchToAnotherHostWhoseProofIsNew() {
+        mirror.relyOnOthers(true);
+        store.page(false, 5);
+        assertThat(store.waiting()).isZero();
+        mirror.heard(new StoreKnowledge(5, 10, -1), System.nanoTime());
+        advance();
+        assertThat(store.waiting()).isZero();
+        assertThat(mirror.knowledge().revision()).isEqualTo(5);
+    }
+
+    @Test
+    void asksTheStoreForWhatAnotherHostHasAndItHasNot() {
+        mirror.relyOnOthers(true);
+        store.page(false, 5);
+        mirror.heard(new StoreKnowledge(7, 10, -1), System.nanoTime());
+        advance();
+        assertThat(store.watchedFrom()).isEqualTo(5);
+        store.changes(7, put("a", "1", 7));
+        assertThat(copy).containsEntry("a", "1");
+        advance();
+        assertThat(store.waiting()).isZero();
+    }
+
+    /** What another host knows proves nothing for a host that lacks a revision of it, or from after the question. */
+    @Test
+    void takesTheProofOfAnotherHostOnlyForWhatItHas() {
+        long[] now = {System.nanoTime()};
+        Freshness lease = new Freshness(() -> now[0], () -> now[0] / 1_000_000, Duration.ofSeconds(3));
+        StoreMirror other = new StoreMirror(
+                store, channel.eventLoop(), lease, new DecisionLog("test"), NOBODY, Duration.ofSeconds(1));
+        store.page(false, 5);
+        store.fail(AsyncStoreException.Reason.UNAVAILABLE);
+        other.start();
+        store.page(false, 5);
+        now[0] += Duration.ofSeconds(4).toNanos();
+        other.heard(new StoreKnowledge(6, 0, -1), now[0]);
+        assertThat(lease.holds()).isFalse();
+        other.heard(new StoreKnowledge(5, 3_500, -1), now[0]);
+        assertThat(lease.holds()).isFalse();
+        other.heard(new StoreKnowledge(5, -1, -1), now[0]);
+        assertThat(lease.holds()).isFalse();
+        other.heard(new StoreKnowledge(5, 500, -1), now[0]);
+        assertThat(lease.ageMillis()).isEqualTo(500);
+    }
+
+    private void advance() {
+        channel.advanceTimeBy(1, TimeUnit.SECONDS);
+        channel.runScheduledPendingTasks();
+    }
+
+    private static final StoreMirror.Listener NOBODY = new StoreMirror.Listener() {
+        @Override
+        public void changed(String key, Optional<byte[]> value, long revision) {
+            // Not looked at.
+        }
+
+        @Override
+        public void synced() {
+            // Not looked at.
+        }
+
+        @Override
+        public void reachable(boolean nowReachable) {
+            // Not looked at.
+        }
+    };
+
     private static StoreItem item(String key, String value, long revision) {
         return new StoreItem(key, value.getBytes(StandardCharsets.UTF_8), revision, 0);
     }
