Count and time requests on a metrics address

Cause: on-call engineers had the log alone; estimates against outcomes, gaps and refusals by kind had to be counted from sampled lines.

Ruled out: a registry of our own (plumbing); series for every account (2,500 of them with fifteen series each).

Change: CallMetrics over Micrometer's Prometheus registry: time to the first answer, gaps, expected queueing, whole time, by route and by account with a bound on both; refusals by kind; repeats; observed against expected time; age of the proof, version, hosts heard, endpoints usable.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -21,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import org.toucanlane.domain.outcome.ErrorKind;
 import org.toucanlane.domain.outcome.Ran;
+import org.toucanlane.domain.serving.ServingAccount;
 import org.toucanlane.edge.fleet.CachedPart;
 import org.toucanlane.edge.fleet.EndpointHandle;
 import org.toucanlane.edge.fleet.Reservation;
@@ -93,6 +95,10 @@
         try {
             Destination next = services.router().choose(admitted, tried);
             estimateMillis = next.estimateMillis();
+            services.metrics().queued(admitted.service(), next.waitMillis());
+            if (!attempts.isEmpty()) {
+                services.metrics().repeated(admitted.service());
+            }
             if (next instanceof Destination.Local local) {
                 send(local);
             } else if (next instanceof Destination.Remote remote) {
@@ -173,12 +179,15 @@
     @Override
     public void events(HttpResponse head, ByteBuf whole, long lastId) {
         lastEvent = lastId;
-        lastProgress = System.nanoTime();
+        long now = System.nanoTime();
+        double gapMillis = (now - lastProgress) / NANOS_PER_MILLI;
+        lastProgress = now;
         if (begun) {
+            services.metrics().gap(admitted.route().name(), gapMillis);
             inbound.responder().send(whole);
         } else {
             begun = true;
-            firstMillis = millisSoFar();
+            noteFirst();
             HttpResponse response = new DefaultHttpResponse(
                     HttpVersion.HTTP_1_1, head.status(), services.dialect().answerHeaders(head));
             HopHeaders.strip(response.headers());
@@ -193,7 +202,7 @@
     @Override
     public void complete() {
         inbound.responder().finish();
-        end("served", 200);
+        end("served", HttpResponseStatus.OK.code());
     }
 
     @Override
@@ -216,7 +225,7 @@
             giveUp(ErrorKind.ENDPOINT_FAILED, Duration.ZERO, "the endpoint answered " + reply.status());
             return;
         }
-        firstMillis = millisSoFar();
+        noteFirst();
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 head.status(),
@@ -228,6 +237,18 @@
         end("served", reply.status());
     }
 
+    private void noteFirst() {
+        firstMillis = millisSoFar();
+        services.metrics().first(admitted.route().name(), accountName(), firstMillis);
+        if (attempts.size() == 1) {
+            services.metrics().estimated(admitted.service(), estimateMillis, firstMillis);
+        }
+    }
+
+    private String accountName() {
+        return admitted.account().map(ServingAccount::name).orElse("");
+    }
+
     /** Returns whether a status tells callers that the request was not run; only a host may say so for an endpoint. */
     private static boolean promisesNotRun(int status) {
         return status == 408 || status == 421 || status == 429 || status == 503;
@@ -330,6 +351,7 @@
             HopHeaders.markRefusal(response.headers(), kind, !attempts.isEmpty());
         }
         inbound.responder().respond(response);
+        services.metrics().refused(kind);
         if (kind.ran() == Ran.NOT_RUN) {
             admitted.account().ifPresent(account -> services.limiter().refund(account, admitted.charged()));
         }
@@ -359,6 +381,9 @@
         }
         ended = true;
         services.running().remove(this);
+        if (status == HttpResponseStatus.OK.code()) {
+            services.metrics().whole(admitted.route().name(), accountName(), millisSoFar());
+        }
         deadline.cancel(false);
         inbound.body().release();
         String upstream = attempts.isEmpty()
@@ -373,7 +398,7 @@
                         "route",
                         admitted.route().name(),
                         "account",
-                        admitted.account().map(holder -> holder.name()).orElse(""),
+                        accountName(),
                         "from",
                         admitted.fromHost().orElse(""),
                         "version",
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -17,6 +17,7 @@
 import org.toucanlane.edge.http.RequestHandler;
 import org.toucanlane.edge.limit.AccountLimiter;
 import org.toucanlane.edge.state.Freshness;
+import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
 
 /** Serves requests of callers and of other hosts. Used on the host's event loop only. */
@@ -36,6 +37,7 @@
      * @param view what the host knows
      * @param place name and region of the host
      * @param repeats bound on repeats
+     * @param metrics counters and histograms
      * @param sent hears which endpoint was sent which parts of a prompt
      */
     public static CallService create(
@@ -43,6 +45,7 @@
             CallDialect dialect,
             View view,
             DecisionLog log,
+            CallMetrics metrics,
             Place place,
             RepeatBound repeats,
             BiConsumer<String, List<CachedPart>> sent) {
@@ -56,6 +59,7 @@
                 sent,
                 new LinkedHashSet<>(),
                 log,
+                metrics,
                 place.host());
         return new CallService(services, new CallAdmission(view, dialect));
     }
@@ -96,6 +100,7 @@
             HopHeaders.markRefusal(response.headers(), kind, false);
         }
         request.responder().respond(response);
+        services.metrics().refused(kind);
         services.log()
                 .decision(
                         "request_" + kind.word(),
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallServices.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallServices.java
@@ -8,6 +8,7 @@
 import java.util.function.BiConsumer;
 import org.toucanlane.edge.fleet.CachedPart;
 import org.toucanlane.edge.limit.AccountLimiter;
+import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
 import org.toucanlane.policy.retry.RetryBudget;
 
@@ -22,6 +23,7 @@
  * @param sent hears which endpoint was sent which parts of a prompt
  * @param running requests that could be sent again if nothing comes of them
  * @param log decisions
+ * @param metrics counters and histograms
  * @param self name of this host
  */
 record CallServices(
@@ -33,6 +35,7 @@
         BiConsumer<String, List<CachedPart>> sent,
         Set<Call> running,
         DecisionLog log,
+        CallMetrics metrics,
         String self) {
 
     /** The retry budgets of all services. Used on the host's event loop only. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 import org.toucanlane.coordination.store.AsyncStore;
 import org.toucanlane.domain.serving.CallerLimits;
+import org.toucanlane.domain.serving.ServingConfiguration;
 import org.toucanlane.edge.call.CallDialect;
 import org.toucanlane.edge.call.CallService;
 import org.toucanlane.edge.fleet.Fleet;
@@ -24,6 +25,7 @@
 import org.toucanlane.edge.state.Freshness;
 import org.toucanlane.edge.state.HostLease;
 import org.toucanlane.edge.state.StoreMirror;
+import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
 
 /**
@@ -58,12 +60,15 @@
     /** Shortest time for which a leaving host goes on answering callers that still hold connections to it. */
     private static final Duration LEAST_DRAIN = Duration.ofMillis(2_500);
 
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private static final Duration DRAIN_POLL = Duration.ofMillis(50);
 
     private final HostSettings settings;
     private final EventLoop loop;
     private final MultiThreadIoEventLoopGroup group;
     private final DecisionLog log;
+    private final CallMetrics metrics = new CallMetrics();
     private final Fleet fleet;
     private final Freshness freshness;
     private final StoreMirror mirror;
@@ -105,6 +110,7 @@
                 dialect,
                 new CallService.View(fleet, freshness, limiter, gossip::isHeard),
                 log,
+                metrics,
                 new CallService.Place(name, settings.self().region()),
                 new CallService.RepeatBound(settings.repeatRatio() * REPEAT_PART, saved),
                 gossip::cached);
@@ -136,6 +142,7 @@
                 new InetSocketAddress(settings.self().address(), settings.self().hopPort());
         hopServer = HttpServer.open(hop, group, calls.forHosts());
         gossip.start(limiter);
+        addGauges();
         freshness.onDoubt(() -> {
             log.belief("clocks_disagree", "action", "asking the store anew");
             gossip.forgetSent();
@@ -183,6 +190,48 @@
         return HttpServer.open(address, group, handler);
     }
 
+    /**
+     * Serves this host's metrics on one more address.
+     *
+     * @throws IOException if it can't be bound
+     */
+    public HttpServer listenForMetrics(InetSocketAddress address) throws IOException {
+        return listen(address, new MetricsHandler(metrics));
+    }
+
+    private void addGauges() {
+        metrics.gauge(
+                "toucanlane.configuration.version",
+                "version of the configuration in force, 0 before the first",
+                () -> fleet.configuration().map(ServingConfiguration::version).orElse(0L));
+        metrics.gauge(
+                "toucanlane.proof.age.seconds",
+                "time since the store is known to hold nothing newer, negative if that isn't known",
+                () -> freshness.ageMillis() / MILLIS_PER_SECOND);
+        metrics.gauge(
+                "toucanlane.hosts",
+                "other hosts that hold a lease",
+                () -> fleet.hosts().size());
+        metrics.gauge(
+                "toucanlane.hosts.heard",
+                "other hosts whose reports come as they should",
+                () -> fleet.hosts().stream().filter(gossip::isHeard).count());
+        metrics.gauge(
+                "toucanlane.endpoints",
+                "endpoints that are registered",
+                () -> fleet.endpoints().size());
+        metrics.gauge("toucanlane.endpoints.usable", "endpoints that this host would send requests to", () -> {
+            long now = System.nanoTime();
+            return fleet.endpoints().stream()
+                    .filter(endpoint -> endpoint.isUsable(now))
+                    .count();
+        });
+        metrics.gauge(
+                "toucanlane.connections.busy",
+                "connections of callers and hosts with a request",
+                () -> callerServer.busyConnections() + hopServer.busyConnections());
+    }
+
     /** Returns whether callers should be sent here: a configuration is in force, and the host isn't leaving. */
     public boolean isReady() {
         return !leaving && fleet.configuration().isPresent();
