--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/FreePorts.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/FreePorts.java
@@ -8,7 +8,7 @@
  * Finds ports of loopback that nobody listens on, below the range from which the system takes the local ports of
  * outgoing connections. Thread-safe.
  */
-final class FreePorts {
+public final class FreePorts {
 
     private static final int FIRST = 10_000;
     private static final int COUNT = 20_000;
@@ -18,7 +18,8 @@
 
     private int next = (int) (ProcessHandle.current().pid() * STRIDE % COUNT);
 
-    synchronized int next() throws IOException {
+    /** Returns a port that was free a moment ago and that this finder has not returned before. */
+    public synchronized int next() throws IOException {
         for (int tries = 0; tries < COUNT; tries++) {
             int port = FIRST + next;
             next = (next + 1) % COUNT;
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/proxy/FaultProxy.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/proxy/FaultProxy.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.Closeable;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -21,7 +22,7 @@
  *
  * <p>Many listeners may belong to one link, such as all connections from one data centre to another. Thread-safe.
  */
-public final class FaultProxy implements AutoCloseable {
+public final class FaultProxy implements Closeable {
 
     private static final int THREADS = 2;
 
