Tell where a refused request may run and what is there

The log said "no endpoint can take the request" and not why: the refused account's homes had lost their last endpoint of that service in a release, while other regions had two that it may not use.

Ruled out by the log: overload (one refusal by estimate in that time), keys (none after second 27), cold endpoints.

Change: the refusal names the regions and counts the endpoints of the service, those allowed and those usable.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -106,12 +106,23 @@
     }
 
     private CallRefusedException refusal(AdmittedCall call, long now) {
-        boolean allCold = fleet.endpointsOf(call.service()).stream()
-                .anyMatch(endpoint -> isHere(endpoint) && endpoint.isUsable(now) && endpoint.isCold(now));
-        return allCold
-                ? new CallRefusedException(ErrorKind.OVERLOADED, COLD_RETRY, "all endpoints have just started")
-                : new CallRefusedException(
-                        ErrorKind.NO_ENDPOINT, NO_ENDPOINT_RETRY, "no endpoint can take the request");
+        List<EndpointHandle> known = fleet.endpointsOf(call.service());
+        boolean allCold =
+                known.stream().anyMatch(endpoint -> isHere(endpoint) && endpoint.isUsable(now) && endpoint.isCold(now));
+        if (allCold) {
+            return new CallRefusedException(ErrorKind.OVERLOADED, COLD_RETRY, "all endpoints have just started");
+        }
+        List<EndpointHandle> allowed = known.stream()
+                .filter(endpoint ->
+                        call.mayRunIn(fleet.regionOf(endpoint.entry().dataCentre())))
+                .toList();
+        String detail = String.format(
+                "no endpoint can take the request: of %d of its service, %d are where it may run (%s), %d of them usable",
+                known.size(),
+                allowed.size(),
+                call.regions().isEmpty() ? "anywhere" : String.join(" or ", call.regions()),
+                allowed.stream().filter(endpoint -> endpoint.isUsable(now)).count());
+        return new CallRefusedException(ErrorKind.NO_ENDPOINT, NO_ENDPOINT_RETRY, detail);
     }
 
     private boolean isHere(EndpointHandle endpoint) {
--- /dev/null
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/RouterTest.java
@@ -0,0 +1,106 @@
+package org.toucanlane.edge.call;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.toucanlane.domain.serving.CallKind;
+import org.toucanlane.domain.serving.EndpointEntry;
+import org.toucanlane.domain.serving.RouteBounds;
+import org.toucanlane.domain.serving.ServiceShare;
+import org.toucanlane.domain.serving.ServingRoute;
+import org.toucanlane.edge.fleet.Fleet;
+import org.toucanlane.edge.telemetry.DecisionLog;
+
+class RouterTest {
+
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = loops.next();
+    private final Fleet fleet = new Fleet(loop, new DecisionLog("test"), "self", Map.of("y", "north", "z", "south"));
+    private final Router router = new Router(fleet, "south", host -> true, new Random(1));
+
+    @AfterEach
+    void stop() {
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /** Refusals of an account whose home had lost its only endpoint could not be told from those of a full service. */
+    @Test
+    void tellsWhereARefusedRequestMayRunAndWhatIsThere() {
+        fleet.endpoint("e", Optional.of(entry("e", "z")));
+        assertThatThrownBy(() -> router.choose(call(Set.of("north")), Set.of()))
+                .isInstanceOf(CallRefusedException.class)
+                .hasMessageContaining("of 1 of its service, 0 are where it may run (north), 0 of them usable");
+    }
+
+    @Test
+    void staysInItsRegionWhileThatIsFast() throws Exception {
+        fleet.endpoint("e", Optional.of(entry("e", "z")));
+        fleet.endpoint("f", Optional.of(entry("f", "y")));
+        assertThat(router.choose(call(Set.of()), Set.of())).isInstanceOfSatisfying(Destination.Local.class, local -> {
+            assertThat(local.endpoint().id()).isEqualTo("e");
+        });
+        assertThatThrownBy(() -> router.choose(call(Set.of()), Set.of("e")))
+                .isInstanceOf(CallRefusedException.class)
+                .hasMessageContaining("of 2 of its service, 2 are where it may run (anywhere), 2 of them usable");
+    }
+
+    private static AdmittedCall call(Set<String> regions) {
+        ServingRoute route = new ServingRoute(
+                "r",
+                "h",
+                "/",
+                CallKind.IDEMPOTENT,
+                false,
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
+                Optional.empty(),
+                OptionalInt.empty(),
+                List.of(new ServiceShare("s", 1)),
+                1,
+                true,
+                false,
+                regions);
+        CallHead head = new CallHead(
+                "id", "h", "/", OptionalLong.empty(), Optional.empty(), Optional.empty(), Optional.empty());
+        return new AdmittedCall(
+                head,
+                route,
+                "s",
+                Optional.empty(),
+                regions,
+                System.nanoTime() + TimeUnit.SECONDS.toNanos(1),
+                1,
+                0,
+                Optional.empty(),
+                1,
+                new RouteBounds(0, Duration.ofSeconds(1)));
+    }
+
+    private static EndpointEntry entry(String id, String dataCentre) {
+        return new EndpointEntry(
+                id,
+                "s",
+                "127.0.0.1",
+                9,
+                dataCentre,
+                6,
+                EndpointEntry.State.READY,
+                Duration.ZERO,
+                OptionalLong.of(1),
+                Optional.empty());
+    }
+}
