Let hosts take turns at a cold endpoint

Each of the 26 hosts of a region sent its first request at once; only later ones kept the rate.

Ruled out: the rate's division itself (gaps were hosts over rate); endpoints that become cold again (the entry said so each time).

Change: ColdRate gives each host a turn in an order by hash that differs between endpoints; a turn that isn't used is lost, so that unused ones don't add up.

--- a/toucanlane-cli/src/main/java/org/toucanlane/cli/Main.java
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/Main.java
@@ -30,6 +30,8 @@
         commands.put("key", KeyCommand::new);
         commands.put("route", RouteCommand::new);
         commands.put("host", HostCommand::new);
+        commands.put("logs", LogsCommand::new);
+        commands.put("report", ReportCommand::new);
         commands.put("schema", SchemaCommand::new);
         commands.put("completion", CompletionCommand::new);
         return commands;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -49,7 +49,8 @@
             Place place,
             RepeatBound repeats,
             BiConsumer<String, List<CachedPart>> sent) {
-        Router router = new Router(view.fleet(), place.region(), view.heard(), RandomGenerator.of("L64X128MixRandom"));
+        Router router = new Router(
+                view.fleet(), place.host(), place.region(), view.heard(), RandomGenerator.of("L64X128MixRandom"));
         CallServices services = new CallServices(
                 loop,
                 dialect,
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -16,7 +16,9 @@
 import org.toucanlane.edge.fleet.EndpointHandle;
 import org.toucanlane.edge.fleet.Fleet;
 import org.toucanlane.edge.fleet.HostHandle;
+import org.toucanlane.edge.fleet.HostRecord;
 import org.toucanlane.policy.admission.OverloadRule;
+import org.toucanlane.policy.placement.ColdRate;
 import org.toucanlane.policy.placement.EndpointPlacer;
 import org.toucanlane.policy.placement.Placement;
 import org.toucanlane.policy.placement.PlacementCandidate;
@@ -45,9 +47,8 @@
     /** Time for which a region that has turned a request away gets no other: until its next reports have come. */
     private static final Duration FULL_TIME = Duration.ofMillis(250);
 
-    private static final double MILLIS_PER_SECOND = 1_000;
-
     private final Fleet fleet;
+    private final String self;
     private final String region;
     private final Predicate<HostHandle> heard;
     private final RandomGenerator random;
@@ -57,10 +58,13 @@
     /**
      * Creates a router.
      *
+     * @param self name of this host
+     * @param region its region
      * @param heard whether a host's reports come as they should
      */
-    Router(Fleet fleet, String region, Predicate<HostHandle> heard, RandomGenerator random) {
+    Router(Fleet fleet, String self, String region, Predicate<HostHandle> heard, RandomGenerator random) {
         this.fleet = fleet;
+        this.self = self;
         this.region = region;
         this.heard = heard;
         this.random = random;
@@ -137,7 +141,7 @@
                     && endpoint.isUsable(now)
                     && !tried.contains(endpoint.id())
                     && !fleet.isEvacuated(endpoint.entry().dataCentre())
-                    && hasColdRoom(endpoint, call, now)) {
+                    && hasColdRoom(endpoint, now)) {
                 long cached = prompt.map(size -> endpoint.cachedTokensOf(size.parts()))
                         .orElse(0L);
                 candidates.add(new PlacementCandidate(endpoint.load(now), cached));
@@ -150,26 +154,35 @@
                         fleet.endpoint(placement.id()).map(endpoint -> new Destination.Local(endpoint, placement)));
     }
 
-    private static boolean hasColdRoom(EndpointHandle endpoint, AdmittedCall call, long now) {
-        return !endpoint.isCold(now) || endpoint.hasColdRoom(now);
+    private boolean hasColdRoom(EndpointHandle endpoint, long now) {
+        return !endpoint.isCold(now)
+                || coldRate(endpoint)
+                        .map(rate -> endpoint.hasColdRoom(rate, now))
+                        .orElse(true);
+    }
+
+    /** Returns this host's part of the rate that a cold endpoint bears, or empty if its service has no bound. */
+    private Optional<ColdRate> coldRate(EndpointHandle endpoint) {
+        return fleet.configuration()
+                .flatMap(current -> current.service(endpoint.entry().service()))
+                .map(ServingService::coldRequestsPerSecond)
+                .filter(perSecond -> perSecond > 0)
+                .map(perSecond -> ColdRate.of(
+                        self,
+                        fleet.hosts().stream()
+                                .map(HostHandle::entry)
+                                .filter(host -> host.region().equals(region))
+                                .map(HostRecord::name)
+                                .toList(),
+                        endpoint.id(),
+                        perSecond));
     }
 
     /** Notes a request to {@code endpoint} against the rate that it bears while it is cold. */
     void noteSend(EndpointHandle endpoint) {
         long now = System.nanoTime();
-        if (!endpoint.isCold(now)) {
-            return;
-        }
-        double perSecond = fleet.configuration()
-                .flatMap(current -> current.service(endpoint.entry().service()))
-                .map(ServingService::coldRequestsPerSecond)
-                .orElse(0.0);
-        if (perSecond > 0) {
-            long hosts = 1
-                    + fleet.hosts().stream()
-                            .filter(host -> host.entry().region().equals(region))
-                            .count();
-            endpoint.coldSend(now, Duration.ofMillis((long) (MILLIS_PER_SECOND * hosts / perSecond)));
+        if (endpoint.isCold(now)) {
+            coldRate(endpoint).ifPresent(rate -> endpoint.coldSend(rate, now));
         }
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
@@ -6,10 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.toucanlane.coordination.hash.RendezvousHash;
 import org.toucanlane.domain.serving.EndpointEntry;
 import org.toucanlane.edge.http.ChannelPool;
 import org.toucanlane.policy.health.EndpointHealth;
+import org.toucanlane.policy.placement.ColdRate;
 import org.toucanlane.policy.placement.EndpointLoad;
 
 /**
@@ -72,7 +74,8 @@
     private double serviceMillis;
     private long lastProgress = System.nanoTime();
     private long coldUntil = System.nanoTime();
-    private long nextColdSend = System.nanoTime();
+    private long coldSince = System.nanoTime();
+    private long lastColdTurn = -1;
     private long fullUntil = System.nanoTime();
     private boolean leaving;
 
@@ -103,7 +106,12 @@
 
     /** Bounds its rate for {@code time} from now. */
     void makeCold(Duration time) {
-        long until = System.nanoTime() + time.toNanos();
+        long now = System.nanoTime();
+        long until = now + time.toNanos();
+        if (!isCold(now)) {
+            coldSince = now;
+            lastColdTurn = -1;
+        }
         if (until - coldUntil > 0) {
             coldUntil = until;
         }
@@ -134,14 +142,15 @@
         return coldUntil - now > 0;
     }
 
-    /** Returns whether the bound on its rate while it is cold allows a request now. */
-    public boolean hasColdRoom(long now) {
-        return nextColdSend - now <= 0;
+    /** Returns whether this host's part of the rate that it bears while it is cold allows a request now. */
+    public boolean hasColdRoom(ColdRate rate, long now) {
+        OptionalLong turn = rate.turnAt(Duration.ofNanos(now - coldSince));
+        return turn.isPresent() && turn.getAsLong() > lastColdTurn;
     }
 
-    /** Notes a request to a cold endpoint; the next one is allowed after {@code gap}. */
-    public void coldSend(long now, Duration gap) {
-        nextColdSend = now + gap.toNanos();
+    /** Notes a request to it while it is cold. */
+    public void coldSend(ColdRate rate, long now) {
+        rate.turnAt(Duration.ofNanos(now - coldSince)).ifPresent(turn -> lastColdTurn = turn);
     }
 
     /** Returns the tokens of {@code parts}, from the first on without a gap, that it is believed to keep. */
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/RouterTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/RouterTest.java
@@ -30,7 +30,7 @@
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = loops.next();
     private final Fleet fleet = new Fleet(loop, new DecisionLog("test"), "self", Map.of("y", "north", "z", "south"));
-    private final Router router = new Router(fleet, "south", host -> true, new Random(1));
+    private final Router router = new Router(fleet, "self", "south", host -> true, new Random(1));
 
     @AfterEach
     void stop() {
