Take no request that the grace period may cut

A leaving host took requests until its last one ended.

Ruled out: the directory (it named the host no more; callers keep answers up to three times as long); the drain (it waited as long as it could).

Change: 2.8 s after the signal a host turns all new requests away as not run, with when to come back, and closes; what runs goes on.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpRequest;
+import java.time.Duration;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -23,8 +24,12 @@
 /** Serves requests of callers and of other hosts. Used on the host's event loop only. */
 public final class CallService {
 
+    /** When a caller may come back whose request came to a host that is about to stop: at once, to another host. */
+    private static final Duration STOPPING_RETRY = Duration.ofMillis(20);
+
     private final CallServices services;
     private final CallAdmission admission;
+    private boolean closed;
 
     private CallService(CallServices services, CallAdmission admission) {
         this.services = services;
@@ -71,6 +76,11 @@
         List.copyOf(services.running()).forEach(call -> call.checkSilence(now));
     }
 
+    /** Turns all later requests away; those that run go on. */
+    public void close() {
+        closed = true;
+    }
+
     /** Returns the handler of callers' requests. */
     public RequestHandler forCallers() {
         return request -> serve(request, admission::admit, false);
@@ -86,6 +96,9 @@
         try {
             CallHead head = admission.read(request.head());
             id = Optional.of(head.id());
+            if (closed) {
+                throw new CallRefusedException(ErrorKind.NOT_READY, STOPPING_RETRY, "this host is about to stop");
+            }
             new Call(services, request, admitter.admit(request.head(), head, request.receivedAt())).start();
         } catch (CallRefusedException e) {
             request.body().release();
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -60,6 +60,12 @@
     /** Shortest time for which a leaving host goes on answering callers that still hold connections to it. */
     private static final Duration LEAST_DRAIN = Duration.ofMillis(2_500);
 
+    /**
+     * Time for which a leaving host still takes requests: callers that keep an answer of the directory three times as long
+     * as told have asked again by then, and the rest of the grace period is enough for most answers.
+     */
+    private static final Duration LAST_TAKEN = Duration.ofMillis(2_800);
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private static final Duration DRAIN_POLL = Duration.ofMillis(50);
@@ -257,6 +263,7 @@
             lease.end();
             callerServer.leave();
             leaving = true;
+            loop.schedule(calls::close, LAST_TAKEN.toMillis(), TimeUnit.MILLISECONDS);
         });
         long most = settings.gracePeriod().minus(END_MARGIN).toNanos();
         boolean done = false;
