--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/store/StoreChanges.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/store/StoreChanges.java
@@ -7,9 +7,9 @@
  * The changes that a watch has observed.
  *
  * @param changes changes in the order of their revisions
- * @param revision revision up to which the changes are complete
+ * @param revision revision up to which the changes are complete; the revisions of the changes belong to the same era
  */
-public record StoreChanges(List<Change> changes, long revision) {
+public record StoreChanges(List<Change> changes, StoreRevision revision) {
 
     /** Creates changes. */
     public StoreChanges {
--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/store/StoreItem.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/store/StoreItem.java
@@ -5,7 +5,7 @@
  *
  * @param key the key
  * @param value the value
- * @param revision revision of its last modification
+ * @param revision number of the revision of its last modification
  * @param lease lease to which the key is attached; 0 for none
  */
 public record StoreItem(String key, byte[] value, long revision, long lease) {}
--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/store/StorePage.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/store/StorePage.java
@@ -7,9 +7,9 @@
  *
  * @param items keys in order
  * @param hasMore whether more keys follow the last item
- * @param revision revision of the store when the page was read
+ * @param revision revision of the store when the page was read; the revisions of the items belong to the same era
  */
-public record StorePage(List<StoreItem> items, boolean hasMore, long revision) {
+public record StorePage(List<StoreItem> items, boolean hasMore, StoreRevision revision) {
 
     /** Creates a page. */
     public StorePage {
--- a/toucanlane-domain/src/main/java/org/toucanlane/domain/serving/EndpointRegistration.java
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/serving/EndpointRegistration.java
@@ -46,6 +46,13 @@
                 && service.equals(other.service);
     }
 
+    /** Returns whether {@code other} was published by a process that started later, as far as start times are known. */
+    public boolean isEarlierProcessThan(EndpointRegistration other) {
+        return startedAtMillis.isPresent()
+                && other.startedAtMillis.isPresent()
+                && startedAtMillis.getAsLong() < other.startedAtMillis.getAsLong();
+    }
+
     /** Whether an endpoint accepts new requests. */
     public enum State {
         /** Accepts new requests. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
@@ -183,7 +183,14 @@
             throw new CallRefusedException(
                     ErrorKind.NOT_READY,
                     NOT_READY_RETRY_AFTER,
-                    "keys can't be verified while the store is unreachable");
+                    "keys can't be verified while the store is unreachable or was just restored");
+        }
+        if (fleet.isConfigurationOutdated(System.nanoTime())) {
+            throw new CallRefusedException(
+                    ErrorKind.NOT_READY,
+                    NOT_READY_RETRY_AFTER,
+                    "keys can't be verified: another host has configuration " + fleet.newestKnownConfiguration()
+                            + ", this host " + configuration.version());
         }
         return Optional.of(head.key()
                 .flatMap(configuration::accountOf)
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Fleet.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Fleet.java
@@ -7,6 +7,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,6 +39,21 @@
      */
     private static final Duration REREGISTRATION_GRACE_PERIOD = Duration.ofMillis(2_000);
 
+    /** Time after a restoration of the store in which its entries may be older than what this host knows. */
+    private static final Duration RESTORED_ENTRIES_TIME = Duration.ofSeconds(2);
+
+    /**
+     * Time for which the removal of an endpoint is remembered; longer than a restored store can be behind, and than the
+     * entry of a process that has ended stays in it.
+     */
+    private static final Duration DEPARTURE_MEMORY = Duration.ofSeconds(30);
+
+    /** Time after which a restored entry that is still in the store belongs to a process that runs. */
+    private static final Duration RESTORED_ENTRY_EXPIRY = Duration.ofSeconds(8);
+
+    /** Time in which a configuration that is in force on another host must arrive here, too. */
+    private static final Duration MAX_CONFIGURATION_LAG = Duration.ofSeconds(3);
+
     /** Connecting within a region takes about one millisecond; a much longer attempt means that a packet was lost. */
     private static final Duration ENDPOINT_CONNECT_TIMEOUT = Duration.ofMillis(700);
 
@@ -73,6 +89,11 @@
     private final List<Consumer<ServingConfiguration>> configurationListeners = new ArrayList<>();
     private long storeRecoveredAt;
     private boolean hadStoreOutage;
+    private boolean restored;
+    private long restoredAt;
+    private final Map<String, Departure> departures = new LinkedHashMap<>();
+    private long versionElsewhere;
+    private long versionElsewhereAt;
 
     /**
      * Creates an empty view.
@@ -105,6 +126,41 @@
         }
     }
 
+    /** Records at monotonic time {@code time} that the store was restored from an older copy and is about to be read. */
+    public void storeRestored(long time) {
+        storeRecovered(time);
+        restored = true;
+        restoredAt = time;
+    }
+
+    private boolean mayBeRestoredEntry() {
+        return restored && System.nanoTime() - restoredAt < RESTORED_ENTRIES_TIME.toNanos();
+    }
+
+    /** Records that another host knows configuration {@code version} to be in force on some host. */
+    public void recordConfigurationElsewhere(long version, long now) {
+        if (version > versionElsewhere) {
+            versionElsewhere = version;
+            versionElsewhereAt = now;
+        }
+    }
+
+    /** Returns the newest configuration version that is known to be in force on this or another host, or 0. */
+    public long newestKnownConfiguration() {
+        return Math.max(
+                versionElsewhere,
+                configuration().map(ServingConfiguration::version).orElse(0L));
+    }
+
+    /**
+     * Returns whether another host has had a newer configuration for so long that it should have arrived here. The
+     * store may have lost it, and this host may have started since.
+     */
+    public boolean isConfigurationOutdated(long now) {
+        long own = configuration().map(ServingConfiguration::version).orElse(0L);
+        return versionElsewhere > own && now - versionElsewhereAt > MAX_CONFIGURATION_LAG.toNanos();
+    }
+
     @Override
     public void configurationChanged(ServingConfiguration next) {
         if (configuration.advance(new Versioned<>(next.version(), next))) {
@@ -127,8 +183,13 @@
     @Override
     public void endpointChanged(String id, Optional<EndpointRegistration> entry) {
         EndpointHandle existing = endpoints.get(id);
+        if (entry.isPresent() && isOutdated(existing, entry.get())) {
+            log.stateChange("endpoint_entry_ignored", "endpoint", id, "reason", "the process is known to have left");
+            return;
+        }
         expiredEntries.remove(id);
         if (entry.isEmpty()) {
+            departures.computeIfPresent(id, (key, departure) -> departure.withoutRestoredEntry());
             if (existing != null) {
                 removeAfterGracePeriod(existing);
             }
@@ -146,6 +207,46 @@
         }
     }
 
+    /**
+     * Returns whether {@code entry} is older than what is known about the endpoint. The start times of the processes
+     * decide between two processes; a process that has announced that it leaves does not come back; and the entry of
+     * any process that has left may come back with the restoration of the store.
+     */
+    private boolean isOutdated(EndpointHandle existing, EndpointRegistration entry) {
+        if (existing != null) {
+            return entry.isEarlierProcessThan(existing.entry());
+        }
+        Departure departure = departures.get(entry.id());
+        if (departure == null || System.nanoTime() - departure.time() > DEPARTURE_MEMORY.toNanos()) {
+            return false;
+        }
+        EndpointRegistration known = departure.entry();
+        if (known.isSameProcess(entry) && !departure.announced() && mayBeRestoredEntry()) {
+            reconsiderLater(entry, departure);
+            return true;
+        }
+        return entry.isEarlierProcessThan(known)
+                || known.startedAtMillis().isPresent() && known.isSameProcess(entry) && departure.announced();
+    }
+
+    /**
+     * Accepts {@code entry} later if the endpoint has not been registered or removed again by then. The entry of a
+     * process that no longer runs expires in the meantime.
+     */
+    private void reconsiderLater(EndpointRegistration entry, Departure departure) {
+        departures.put(entry.id(), departure.withRestoredEntry());
+        loop.schedule(
+                () -> {
+                    Departure current = departures.get(entry.id());
+                    if (current != null && current.restoredEntry() && !endpoints.containsKey(entry.id())) {
+                        departures.remove(entry.id());
+                        add(entry);
+                    }
+                },
+                RESTORED_ENTRY_EXPIRY.toNanos(),
+                TimeUnit.NANOSECONDS);
+    }
+
     /** Returns the memory of a service's engines in tokens, or 0 if the service is unknown or has no engine profile. */
     private long engineMemoryTokens(String service) {
         return configuration()
@@ -202,6 +303,9 @@
     }
 
     private void remove(EndpointHandle handle, String reason) {
+        long now = System.nanoTime();
+        departures.values().removeIf(departure -> now - departure.time() > DEPARTURE_MEMORY.toNanos());
+        departures.put(handle.id(), new Departure(handle.entry(), handle.isDraining(), false, now));
         handle.drain();
         endpoints.remove(handle.id(), handle);
         endpointsByTag.remove(handle.tag(), handle);
@@ -239,7 +343,11 @@
     public void hostChanged(String name, Optional<HostRecord> entry) {
         HostHandle existing = hosts.get(name);
         boolean same = existing != null && entry.isPresent() && existing.entry().equals(entry.get());
-        if (same || name.equals(self)) {
+        boolean outdated = existing != null
+                && entry.isPresent()
+                && mayBeRestoredEntry()
+                && entry.get().incarnation() < existing.entry().incarnation();
+        if (same || outdated || name.equals(self)) {
             return;
         }
         if (existing != null) {
@@ -324,6 +432,25 @@
         return regionOf(endpoint.entry().dataCentre());
     }
 
+    /**
+     * The removal of an endpoint's process.
+     *
+     * @param entry last entry of the process
+     * @param announced whether the process had announced that it leaves
+     * @param restoredEntry whether the entry came back with the restoration of the store, and is to be reconsidered
+     * @param time monotonic time of the removal
+     */
+    private record Departure(EndpointRegistration entry, boolean announced, boolean restoredEntry, long time) {
+
+        private Departure withRestoredEntry() {
+            return new Departure(entry, announced, true, time);
+        }
+
+        private Departure withoutRestoredEntry() {
+            return new Departure(entry, announced, false, time);
+        }
+    }
+
     /** Closes connections to endpoints and hosts that exceeded their idle timeout. */
     public void closeExpiredConnections() {
         endpoints.values().forEach(endpoint -> endpoint.pool().closeExpired());
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/FleetStoreFormat.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/FleetStoreFormat.java
@@ -14,4 +14,7 @@
 
     /** Returns the store key of a host's record. */
     String hostKey(String host);
+
+    /** Returns the store key of the {@link org.toucanlane.edge.state.EraRecord}. */
+    String eraKey();
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/FleetReport.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/FleetReport.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.toucanlane.coordination.store.StoreRevision;
 import org.toucanlane.edge.fleet.EndpointUsage;
 import org.toucanlane.edge.fleet.PromptSegment;
 import org.toucanlane.edge.limit.AccountUsage;
@@ -26,7 +27,7 @@
 public record FleetReport(Header header, List<RegionReport> regions) {
 
     /** First byte of each report; distinguishes it from other datagrams and other format versions. */
-    private static final int FORMAT_MARKER = 0x71;
+    private static final int FORMAT_MARKER = 0x72;
 
     /** Fixed-point scale of the slowness on the wire. */
     private static final double SLOWNESS_SCALE = 100;
@@ -49,6 +50,7 @@
      * @param aggregated whether the report covers all hosts from which the sender has reports, rather than the sender
      *     alone
      * @param storeStatus the sender's store status
+     * @param configurationVersion newest configuration version that the sender knows to be in force on any host
      */
     public record Header(
             int host,
@@ -56,7 +58,8 @@
             long round,
             long acknowledgedRound,
             boolean aggregated,
-            StoreStatus storeStatus) {}
+            StoreStatus storeStatus,
+            long configurationVersion) {}
 
     /** Encodes the report of a region, which is the same for all receivers of a round. */
     public static byte[] encode(RegionReport region) {
@@ -72,9 +75,11 @@
             out.writeUInt64NoTag(header.round());
             out.writeUInt64NoTag(header.acknowledgedRound());
             out.writeBoolNoTag(header.aggregated());
-            out.writeUInt64NoTag(header.storeStatus().revision());
+            out.writeSInt64NoTag(header.storeStatus().revision().era());
+            out.writeUInt64NoTag(header.storeStatus().revision().number());
             out.writeSInt64NoTag(header.storeStatus().ageMillis());
             out.writeSInt64NoTag(header.storeStatus().recoveredMillis());
+            out.writeUInt64NoTag(header.configurationVersion());
             out.writeUInt32NoTag(regions.size());
             for (byte[] region : regions) {
                 out.writeRawBytes(region);
@@ -147,7 +152,8 @@
                 in.readUInt64(),
                 in.readUInt64(),
                 in.readBool(),
-                new StoreStatus(in.readUInt64(), in.readSInt64(), in.readSInt64()));
+                new StoreStatus(new StoreRevision(in.readSInt64(), in.readUInt64()), in.readSInt64(), in.readSInt64()),
+                in.readUInt64());
         List<RegionReport> regions = new ArrayList<>();
         for (int remaining = readCount(in); remaining > 0; remaining--) {
             regions.add(readRegion(in));
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
@@ -355,7 +355,8 @@
                     rounds,
                     received.latestRound(host.entry().name()),
                     gathered,
-                    mirror.status());
+                    mirror.status(),
+                    fleet.newestKnownConfiguration());
             channel.write(new DatagramPacket(
                     Unpooled.wrappedBuffer(FleetReport.encode(header, regions)),
                     new InetSocketAddress(host.entry().address(), host.entry().gossipPort())));
@@ -384,6 +385,7 @@
     private void receive(HostHandle host, FleetReport report, long now) {
         host.recordReport(now);
         FleetReport.Header header = report.header();
+        fleet.recordConfigurationElsewhere(header.configurationVersion(), now);
         boolean sameRegion = host.entry().region().equals(self.region());
         if (sameRegion) {
             sent.findByRound(header.acknowledgedRound())
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import org.toucanlane.coordination.store.AsyncStore;
+import org.toucanlane.coordination.store.StoreTransaction;
 import org.toucanlane.domain.serving.CallerLimits;
 import org.toucanlane.domain.serving.ServingConfiguration;
 import org.toucanlane.edge.call.CallDialect;
@@ -112,9 +113,25 @@
                 Duration.ofMillis((long) (settings.keyRevocationTime().toMillis() * VALIDITY_FRACTION));
         this.freshness = new FreshnessLease(System::nanoTime, System::currentTimeMillis, validity);
         this.mirror = new StoreMirror(
-                store, loop, freshness, log, new MirrorListener(documents), validity.dividedBy(WATCHES_PER_VALIDITY));
+                store,
+                loop,
+                freshness,
+                log,
+                new MirrorListener(documents),
+                documents.eraKey(),
+                validity.dividedBy(WATCHES_PER_VALIDITY));
         this.lease = new HostLease(
-                store, loop, log, documents.hostKey(name), settings.self().encode(), LEASE_TTL);
+                store,
+                loop,
+                log,
+                documents.hostKey(name),
+                settings.self().encode(),
+                LEASE_TTL,
+                () -> mirror
+                        .missingEraRecord()
+                        .map(missing -> new StoreTransaction.Put(documents.eraKey(), missing.encode(), 0))
+                        .stream()
+                        .toList());
         this.gossip = new Gossip(loop, fleet, log, settings.self(), mirror);
         this.limiter = new AccountLimiter(System::nanoTime, gossip);
         int maxSavedRetries = Math.max(1, (int) (settings.extraRetries() * RETRY_BUDGET_FRACTION / RETRY_BUDGET_HOSTS));
@@ -166,10 +183,7 @@
             callerServer.setLimits(next.callerLimits());
             peerServer.setLimits(peerLimits(next.callerLimits()));
         });
-        loop.execute(() -> {
-            mirror.start();
-            lease.start();
-        });
+        loop.execute(mirror::start);
         loop.scheduleAtFixedRate(
                 this::runMaintenance,
                 MAINTENANCE_INTERVAL.toMillis(),
@@ -224,6 +238,8 @@
                 "toucanlane.proof.age.seconds",
                 "time since the store is known to hold nothing newer, negative if that isn't known",
                 () -> freshness.ageMillis() / MILLIS_PER_SECOND);
+        metrics.registerGauge(
+                "toucanlane.store.era", "era of the store, negative if the store reports none", mirror::era);
         metrics.registerGauge(
                 "toucanlane.hosts",
                 "other hosts that hold a lease",
@@ -326,19 +342,30 @@
 
         private final FleetStoreFormat documents;
         private boolean reachedBefore;
+        private boolean leaseOpened;
+        private long leaseEra;
 
         private MirrorListener(FleetStoreFormat documents) {
             this.documents = documents;
         }
 
         @Override
-        public void changed(String key, Optional<byte[]> value, long revision) {
+        public void changed(String key, Optional<byte[]> value) {
             documents.read(key, value, fleet);
         }
 
         @Override
         public void synced() {
-            // Each key has already been reported by changed().
+            if (!leaseOpened || leaseEra != mirror.era()) {
+                leaseOpened = true;
+                leaseEra = mirror.era();
+                lease.open();
+            }
+        }
+
+        @Override
+        public void storeRestored() {
+            fleet.storeRestored(System.nanoTime());
         }
 
         @Override
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/BufferedExchange.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/BufferedExchange.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.IOException;
 import java.time.Duration;
@@ -20,9 +21,12 @@
     private final ByteBuf body = Unpooled.buffer();
     private final ScheduledFuture<?> timeout;
     private ClientCall call;
+    private final int maxBytes;
     private int status;
+    private HttpHeaders headers;
 
-    private BufferedExchange(EventLoop loop, Duration maxTime) {
+    private BufferedExchange(EventLoop loop, Duration maxTime, int maxBytes) {
+        this.maxBytes = maxBytes;
         this.timeout = loop.schedule(this::onTimeout, maxTime.toMillis(), TimeUnit.MILLISECONDS);
     }
 
@@ -30,11 +34,12 @@
      * Sends {@code request}.
      *
      * @param maxTime maximum time until the response is complete, after which the connection is closed
+     * @param maxBytes maximum size of the response body, above which the connection is closed
      * @return the response, or a failure with an {@link IOException} or a {@link TimeoutException}
      */
     public static CompletableFuture<Response> send(
-            ChannelPool pool, EventLoop loop, FullHttpRequest request, Duration maxTime) {
-        BufferedExchange exchange = new BufferedExchange(loop, maxTime);
+            ChannelPool pool, EventLoop loop, FullHttpRequest request, Duration maxTime, int maxBytes) {
+        BufferedExchange exchange = new BufferedExchange(loop, maxTime, maxBytes);
         pool.send(request, exchange);
         return exchange.result;
     }
@@ -57,16 +62,24 @@
     @Override
     public boolean onHead(HttpResponse response) {
         status = response.status().code();
+        headers = response.headers();
         return true;
     }
 
     @Override
     public void onData(ByteBuf content, boolean last) {
-        body.writeBytes(content);
+        boolean tooLarge = body.readableBytes() + content.readableBytes() > maxBytes;
+        if (!tooLarge && !result.isDone()) {
+            body.writeBytes(content);
+        }
         content.release();
-        if (last) {
+        if (tooLarge) {
+            timeout.cancel(false);
+            call.cancel();
+            result.completeExceptionally(new IOException("response exceeds the limit of " + maxBytes + " bytes"));
+        } else if (last) {
             timeout.cancel(false);
-            result.complete(new Response(status, ByteBufUtil.getBytes(body)));
+            result.complete(new Response(status, headers, ByteBufUtil.getBytes(body)));
         }
     }
 
@@ -80,7 +93,8 @@
      * A complete response.
      *
      * @param status HTTP status
+     * @param headers response headers
      * @param body response body, not copied
      */
-    public record Response(int status, byte[] body) {}
+    public record Response(int status, HttpHeaders headers, byte[] body) {}
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/FreshnessLease.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/FreshnessLease.java
@@ -39,6 +39,16 @@
         this.clockOffset = clockOffset();
     }
 
+    /** Returns the present monotonic time in nanoseconds, of the clock by which the lease is measured. */
+    long monotonicNanos() {
+        return monotonicNanos.getAsLong();
+    }
+
+    /** Returns the present wall-clock time in Unix milliseconds. */
+    long wallMillis() {
+        return wallMillis.getAsLong();
+    }
+
     /** Sets the action to run when a clock jump is detected, which should renew the lease immediately. */
     public void onClockJump(Runnable action) {
         onClockJump = action;
@@ -72,6 +82,11 @@
         }
     }
 
+    /** Ends the lease until its next renewal. */
+    public void end() {
+        renewed = false;
+    }
+
     /** Returns whether the lease is valid. */
     public boolean isValid() {
         return checkClocks() && renewed && monotonicNanos.getAsLong() - renewedAt <= validityNanos;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/HostLease.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/HostLease.java
@@ -1,9 +1,13 @@
 package org.toucanlane.edge.state;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.toucanlane.coordination.store.AsyncStore;
 import org.toucanlane.coordination.store.AsyncStoreException;
 import org.toucanlane.coordination.store.StoreTransaction;
@@ -12,8 +16,11 @@
 /**
  * Keeps this host's record in the store while its process is alive, so that other hosts can discover it.
  *
+ * <p>The same transaction writes further records that this host has to contribute, such as the {@link EraRecord}.
+ *
  * <p>Invariant: the record is attached to a lease that only this process renews, so it expires soon after the process
- * ends. Not thread-safe: confined to one event loop.
+ * ends. A restored store may grant the id of a lost lease again, to another host; therefore {@link #open} must be called
+ * in each new era, and a lease is never revoked by its id. Not thread-safe: confined to one event loop.
  */
 public final class HostLease {
 
@@ -23,64 +30,98 @@
     private final String key;
     private final byte[] record;
     private final Duration ttl;
+    private final Supplier<List<StoreTransaction.Put>> furtherRecords;
+    private long generation;
     private long lease;
     private boolean ended;
 
     /**
-     * Creates an instance without a lease; {@link #start} opens one.
+     * Creates an instance without a lease; {@link #open} opens one.
      *
      * @param ttl time after the last renewal at which the record expires
+     * @param furtherRecords returns the values to write together with the record
      */
     public HostLease(
-            AsyncStore store, ScheduledExecutorService loop, DecisionLog log, String key, byte[] record, Duration ttl) {
+            AsyncStore store,
+            ScheduledExecutorService loop,
+            DecisionLog log,
+            String key,
+            byte[] record,
+            Duration ttl,
+            Supplier<List<StoreTransaction.Put>> furtherRecords) {
         this.store = store;
         this.loop = loop;
         this.log = log;
         this.key = key;
         this.record = record.clone();
         this.ttl = ttl;
+        this.furtherRecords = furtherRecords;
+    }
+
+    /** Opens a lease, writes the record and keeps renewing the lease. An earlier lease is abandoned. */
+    public void open() {
+        generation++;
+        open(generation);
     }
 
-    /** Opens the lease, writes the record and keeps renewing the lease. */
-    public void start() {
-        if (ended) {
+    private void open(long expectedGeneration) {
+        if (isSuperseded(expectedGeneration)) {
             return;
         }
         store.grantLease(ttl)
                 .thenCompose(opened -> {
                     lease = opened.id();
-                    return store.commit(StoreTransaction.put(key, record, lease));
+                    List<StoreTransaction.Put> puts = new ArrayList<>(furtherRecords.get());
+                    puts.add(new StoreTransaction.Put(key, record, lease));
+                    return store.commit(new StoreTransaction(Map.of(), puts, List.of()));
                 })
                 .whenComplete((revision, failure) -> {
+                    if (isSuperseded(expectedGeneration)) {
+                        return;
+                    }
                     if (failure == null) {
-                        log.stateChange("host_lease_opened", "lease", lease, "revision", revision);
-                        scheduleRenewal();
+                        log.stateChange(
+                                "host_lease_opened",
+                                "lease",
+                                lease,
+                                "era",
+                                revision.era(),
+                                "revision",
+                                revision.number());
+                        scheduleRenewal(expectedGeneration);
                     } else {
                         log.stateChange("host_lease_failed", "reason", String.valueOf(failure.getMessage()));
-                        loop.schedule(this::start, renewalIntervalMillis(), TimeUnit.MILLISECONDS);
+                        loop.schedule(() -> open(expectedGeneration), renewalIntervalMillis(), TimeUnit.MILLISECONDS);
                     }
                 });
     }
 
+    private boolean isSuperseded(long expectedGeneration) {
+        return ended || expectedGeneration != generation;
+    }
+
     /** Returns a third of the time to live, so that two renewals in a row may be lost. */
     private long renewalIntervalMillis() {
         return ttl.toMillis() / 3;
     }
 
-    private void scheduleRenewal() {
-        loop.schedule(this::renew, renewalIntervalMillis(), TimeUnit.MILLISECONDS);
+    private void scheduleRenewal(long expectedGeneration) {
+        loop.schedule(() -> renew(expectedGeneration), renewalIntervalMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private void renew() {
-        if (ended) {
+    private void renew(long expectedGeneration) {
+        if (isSuperseded(expectedGeneration)) {
             return;
         }
         store.renewLease(lease).whenComplete((renewed, failure) -> {
+            if (isSuperseded(expectedGeneration)) {
+                return;
+            }
             if (failure != null && isLeaseLost(failure)) {
                 log.stateChange("host_lease_lost", "lease", lease);
-                start();
+                open();
             } else {
-                scheduleRenewal();
+                scheduleRenewal(expectedGeneration);
             }
         });
     }
@@ -90,12 +131,12 @@
         return cause instanceof AsyncStoreException known && known.reason() == AsyncStoreException.Reason.LEASE_EXPIRED;
     }
 
-    /** Revokes the lease, which deletes the record, so that other hosts remove this one immediately. */
+    /** Deletes the record, so that other hosts remove this one immediately, and lets the lease expire. */
     public void end() {
         ended = true;
-        store.revokeLease(lease).whenComplete((done, failure) -> {
+        store.commit(StoreTransaction.delete(key)).whenComplete((done, failure) -> {
             if (failure != null) {
-                log.stateChange("host_lease_not_ended", "lease", lease, "reason", String.valueOf(failure.getMessage()));
+                log.stateChange("host_record_not_deleted", "key", key, "reason", String.valueOf(failure.getMessage()));
             }
         });
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
@@ -1,8 +1,11 @@
 package org.toucanlane.edge.state;
 
+import com.google.common.hash.Hashing;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -14,6 +17,7 @@
 import org.toucanlane.coordination.store.StoreChanges;
 import org.toucanlane.coordination.store.StoreItem;
 import org.toucanlane.coordination.store.StorePage;
+import org.toucanlane.coordination.store.StoreRevision;
 import org.toucanlane.edge.telemetry.DecisionLog;
 
 /**
@@ -25,7 +29,12 @@
  *
  * <p>One host of a region watches the store; the others are followers. The leader's reported revision and freshness
  * renew the lease of a follower that has this revision; a follower that is behind fetches the changes with a short
- * watch. A follower whose lease grows too old also queries the store itself. Not thread-safe: confined to one event
+ * watch. A follower whose lease grows too old also queries the store itself.
+ *
+ * <p>When the store begins a new era, having lost its last writes, the lease ends and all keys are read again. Values
+ * that the restored store contains are reported, but keys that it lacks stay in the copy for the settling time of
+ * {@link EraTracker}, since their writers may write them again. Until then reads do not renew the lease. Status reports
+ * of an earlier era are ignored; those of a later one begin that era here too. Not thread-safe: confined to one event
  * loop.
  */
 public final class StoreMirror {
@@ -62,21 +71,25 @@
     private final DecisionLog log;
     private final Listener listener;
     private final Duration watchTime;
-    private final Map<String, Long> revisions = new HashMap<>();
-    private long revision;
+    private final String eraKey;
+    private final EraTracker eras = new EraTracker();
+    private final Map<String, Known> knownItems = new HashMap<>();
+    private StoreRevision revision = StoreRevision.NONE;
+    private boolean eraRecorded;
     private boolean reachable;
     private boolean synced;
     private long generation;
     private boolean restarted;
     private long restartedAt;
     private boolean follower;
-    private long peerRevision;
+    private StoreRevision peerRevision = StoreRevision.NONE;
     private boolean recovered;
     private long recoveredAt;
 
     /**
      * Creates an empty mirror; {@link #start} begins the initial read.
      *
+     * @param eraKey key of the {@link EraRecord}
      * @param watchTime how long a watch waits for a change, which bounds the age of the lease when the watch returns
      */
     public StoreMirror(
@@ -85,19 +98,64 @@
             FreshnessLease freshness,
             DecisionLog log,
             Listener listener,
+            String eraKey,
             Duration watchTime) {
         this.store = store;
         this.loop = loop;
         this.freshness = freshness;
         this.log = log;
         this.listener = listener;
+        this.eraKey = eraKey;
         this.watchTime = watchTime;
+        store.setEraListener(this::beginEra);
     }
 
     /** Starts reading and then watching the store, and abandons earlier calls. */
     public void start() {
         generation++;
-        readAll(generation, System.nanoTime(), "", new HashSet<>(), 0);
+        readAll(generation, freshness.monotonicNanos(), "", new HashSet<>(), Optional.empty());
+    }
+
+    /** Applies an era that was reported by the store or by another host. */
+    private void beginEra(long era) {
+        long previous = eras.era();
+        if (!eras.advance(era, freshness.monotonicNanos())) {
+            return;
+        }
+        eraRecorded = false;
+        peerRevision = StoreRevision.NONE;
+        loop.schedule(() -> endSettling(era), EraTracker.SETTLING_TIME.toMillis(), TimeUnit.MILLISECONDS);
+        if (previous == StoreRevision.UNKNOWN_ERA) {
+            return;
+        }
+        log.stateChange("store_era_changed", "era", era, "previous", previous, "revision", revision.number());
+        freshness.end();
+        listener.storeRestored();
+        start();
+    }
+
+    /** Removes keys that were not written again, and queries the store for a proof that the copy is current. */
+    private void endSettling(long era) {
+        if (era != eras.era() || !synced || revision.era() != era) {
+            return;
+        }
+        removeUnconfirmed();
+        if (!freshness.isValid()) {
+            generation++;
+            watch(generation, CATCH_UP_WAIT);
+        }
+    }
+
+    /** Removes the keys that were known in an earlier era and are missing in the current one. */
+    private void removeUnconfirmed() {
+        List<String> missing = knownItems.entrySet().stream()
+                .filter(known -> known.getValue().revision().era() < eras.era())
+                .map(Map.Entry::getKey)
+                .toList();
+        if (!missing.isEmpty()) {
+            log.stateChange("store_keys_not_written_again", "era", eras.era(), "keys", missing.size());
+        }
+        missing.forEach(this::remove);
     }
 
     /**
@@ -105,7 +163,7 @@
      * Has no effect within the retry delay after the previous effective call.
      */
     public void restart() {
-        long now = System.nanoTime();
+        long now = freshness.monotonicNanos();
         if (restarted && now - restartedAt < RETRY_DELAY.toNanos()) {
             return;
         }
@@ -119,7 +177,12 @@
         }
     }
 
-    private void readAll(long expectedGeneration, long sentAt, String after, Set<String> seen, long firstRevision) {
+    private void readAll(
+            long expectedGeneration,
+            long sentAt,
+            String after,
+            Set<String> seen,
+            Optional<StoreRevision> firstRevision) {
         store.range("", after).whenComplete((page, failure) -> {
             if (expectedGeneration != generation) {
                 return;
@@ -129,11 +192,16 @@
                 retry(expectedGeneration, this::start);
                 return;
             }
+            if (page.revision().era() != eras.era()) {
+                // Another host has reported a newer era than this response.
+                retry(expectedGeneration, this::start);
+                return;
+            }
             applyPage(page, seen);
-            long from = firstRevision == 0 ? page.revision() : firstRevision;
+            StoreRevision from = firstRevision.orElse(page.revision());
             if (page.hasMore() && !page.items().isEmpty()) {
                 String last = page.items().get(page.items().size() - 1).key();
-                readAll(expectedGeneration, sentAt, last, seen, from);
+                readAll(expectedGeneration, sentAt, last, seen, Optional.of(from));
             } else {
                 synced(expectedGeneration, sentAt, seen, from);
             }
@@ -147,32 +215,48 @@
         });
     }
 
-    private void synced(long expectedGeneration, long sentAt, Set<String> seen, long from) {
+    private void synced(long expectedGeneration, long sentAt, Set<String> seen, StoreRevision from) {
         markReachable();
-        Set<String> removed = new HashSet<>(revisions.keySet());
-        removed.removeAll(seen);
-        removed.forEach(this::remove);
+        boolean settled = eras.isProof(freshness.monotonicNanos());
+        Set<String> missing = new HashSet<>(knownItems.keySet());
+        missing.removeAll(seen);
+        missing.removeIf(key -> knownItems.get(key).revision().era() < from.era());
+        missing.forEach(this::remove);
         revision = from;
         synced = true;
-        freshness.renew(sentAt);
-        log.stateChange("store_read", "keys", seen.size(), "revision", from);
+        if (settled) {
+            removeUnconfirmed();
+        }
+        renewFreshness(sentAt);
+        log.stateChange(
+                "store_read", "keys", seen.size(), "era", from.era(), "revision", from.number(), "settled", settled);
         listener.synced();
         continueWatching(expectedGeneration);
     }
 
+    /** Renews the lease for a read that was sent at {@code sentAt}, unless the current era is too young. */
+    private void renewFreshness(long sentAt) {
+        if (eras.isProof(sentAt)) {
+            freshness.renew(sentAt);
+        }
+    }
+
     private void watch(long expectedGeneration, Duration wait) {
-        long sentAt = System.nanoTime();
-        store.watch("", revision, wait).whenComplete((changes, failure) -> {
+        long sentAt = freshness.monotonicNanos();
+        store.watch("", revision.number(), wait).whenComplete((changes, failure) -> {
             if (expectedGeneration != generation) {
                 return;
             }
-            if (failure == null) {
+            if (failure == null && changes.revision().era() != eras.era()) {
+                // Another host has reported a newer era than this response.
+                retry(expectedGeneration, this::start);
+            } else if (failure == null) {
                 markReachable();
                 apply(changes);
-                freshness.renew(sentAt);
+                renewFreshness(sentAt);
                 watchAgain(expectedGeneration, changes.changes().isEmpty());
             } else if (reasonOf(failure) == AsyncStoreException.Reason.COMPACTED) {
-                log.stateChange("store_history_gone", "revision", revision);
+                log.stateChange("store_history_gone", "era", revision.era(), "revision", revision.number());
                 start();
             } else {
                 markUnreachable(failure);
@@ -194,11 +278,12 @@
 
     /** Watches the store, unless this host is a follower whose copy is up to date and whose lease is recent. */
     private void continueWatching(long expectedGeneration) {
-        boolean behind = peerRevision > revision;
+        boolean behind = peerRevision.isAfter(revision);
         boolean fresh = freshness.isValid() && freshness.ageMillis() < FOLLOWER_MAX_AGE_WATCHES * watchTime.toMillis();
+        boolean needsProof = !fresh && eras.isProof(freshness.monotonicNanos());
         if (!follower) {
             watch(expectedGeneration, watchTime);
-        } else if (behind || !fresh) {
+        } else if (behind || needsProof) {
             watch(expectedGeneration, CATCH_UP_WAIT);
         } else {
             scheduleIfCurrent(expectedGeneration, FOLLOWER_POLL_INTERVAL, () -> continueWatching(expectedGeneration));
@@ -220,43 +305,80 @@
         if (!synced || status.ageMillis() < 0) {
             return;
         }
-        peerRevision = Math.max(peerRevision, status.revision());
-        if (status.revision() <= revision) {
-            freshness.renew(askedAt - TimeUnit.MILLISECONDS.toNanos(status.ageMillis()));
+        if (status.revision().era() < eras.era()) {
+            return;
+        }
+        beginEra(status.revision().era());
+        peerRevision = status.revision().isAfter(peerRevision) ? status.revision() : peerRevision;
+        if (status.revision().era() == revision.era() && !status.revision().isAfter(revision)) {
+            renewFreshness(askedAt - TimeUnit.MILLISECONDS.toNanos(status.ageMillis()));
         }
         if (status.recoveredMillis() >= 0) {
             listener.storeRecoveredElsewhere(
-                    System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(status.recoveredMillis()));
+                    freshness.monotonicNanos() - TimeUnit.MILLISECONDS.toNanos(status.recoveredMillis()));
         }
     }
 
     /** Returns the status of this host's copy, which other hosts pass to {@link #receivePeerStatus}. */
     public StoreStatus status() {
         long age = freshness.isValid() ? freshness.ageMillis() : -1;
-        long since = recovered ? TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - recoveredAt) : -1;
+        long since = recovered ? TimeUnit.NANOSECONDS.toMillis(freshness.monotonicNanos() - recoveredAt) : -1;
         return new StoreStatus(revision, age, since <= RECOVERY_ANNOUNCEMENT_TIME.toMillis() ? since : -1);
     }
 
     private void apply(StoreChanges changes) {
         for (StoreChanges.Change change : changes.changes()) {
-            if (change.revision() > revision) {
+            if (change.revision() > revision.number()) {
                 change.item().ifPresentOrElse(this::put, () -> remove(change.key()));
             }
         }
-        revision = Math.max(revision, changes.revision());
+        revision = changes.revision().isAfter(revision) ? changes.revision() : revision;
     }
 
     private void put(StoreItem item) {
-        Long knownRevision = revisions.get(item.key());
-        if (knownRevision == null || knownRevision < item.revision()) {
-            revisions.put(item.key(), item.revision());
-            listener.changed(item.key(), Optional.of(item.value()), item.revision());
+        StoreRevision itemRevision = new StoreRevision(eras.era(), item.revision());
+        Known known = knownItems.get(item.key());
+        if (known != null && !itemRevision.isAfter(known.revision())) {
+            return;
+        }
+        long fingerprint =
+                Hashing.farmHashFingerprint64().hashBytes(item.value()).asLong();
+        knownItems.put(item.key(), new Known(itemRevision, fingerprint));
+        // A restored value that was known before the restoration is not a change.
+        boolean restored = known != null && known.revision().era() < eras.era() && known.fingerprint() == fingerprint;
+        if (!restored) {
+            listener.changed(item.key(), Optional.of(item.value()));
+        }
+        if (item.key().equals(eraKey)) {
+            applyEraRecord(item.value());
         }
     }
 
+    private void applyEraRecord(byte[] value) {
+        try {
+            EraRecord eraRecord = EraRecord.decode(value);
+            eraRecorded = eraRecord.era() == eras.era();
+            eras.applyRecord(eraRecord, freshness.wallMillis(), freshness.monotonicNanos());
+        } catch (IOException e) {
+            log.stateChange("era_record_unreadable", "key", eraKey, "reason", String.valueOf(e.getMessage()));
+        }
+    }
+
+    /** Returns the newest known era of the store. */
+    public long era() {
+        return eras.era();
+    }
+
+    /** Returns the record of the current era, if the store reports eras and does not contain the record yet. */
+    public Optional<EraRecord> missingEraRecord() {
+        return eras.era() == StoreRevision.UNKNOWN_ERA || eraRecorded
+                ? Optional.empty()
+                : Optional.of(new EraRecord(eras.era(), freshness.wallMillis()));
+    }
+
     private void remove(String key) {
-        if (revisions.remove(key) != null) {
-            listener.changed(key, Optional.empty(), revision);
+        if (knownItems.remove(key) != null) {
+            listener.changed(key, Optional.empty());
         }
     }
 
@@ -264,8 +386,8 @@
         if (!reachable) {
             reachable = true;
             recovered = synced;
-            recoveredAt = System.nanoTime();
-            log.stateChange("store_regained", "revision", revision);
+            recoveredAt = freshness.monotonicNanos();
+            log.stateChange("store_regained", "era", revision.era(), "revision", revision.number());
             listener.reachabilityChanged(true);
         }
     }
@@ -306,15 +428,21 @@
                 : AsyncStoreException.Reason.UNAVAILABLE;
     }
 
+    /** Newest revision of a key, and the fingerprint of its value there. */
+    private record Known(StoreRevision revision, long fingerprint) {}
+
     /** Receives changes of the copy. */
     public interface Listener {
 
         /** Called when a key has a new value, or with empty when it was removed. */
-        void changed(String key, Optional<byte[]> value, long revision);
+        void changed(String key, Optional<byte[]> value);
 
         /** Called when all keys have been read. */
         void synced();
 
+        /** Called when the store was restored from an older copy, before keys are read from it. */
+        default void storeRestored() {}
+
         /** Called when the store becomes reachable or unreachable. */
         void reachabilityChanged(boolean nowReachable);
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreStatus.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreStatus.java
@@ -1,5 +1,7 @@
 package org.toucanlane.edge.state;
 
+import org.toucanlane.coordination.store.StoreRevision;
+
 /**
  * The state of a host's copy of the store.
  *
@@ -7,8 +9,8 @@
  * @param ageMillis time since the copy was last known to be current, or -1 if unknown
  * @param recoveredMillis time since the store became reachable after an outage, or -1 if there was no recent outage
  */
-public record StoreStatus(long revision, long ageMillis, long recoveredMillis) {
+public record StoreStatus(StoreRevision revision, long ageMillis, long recoveredMillis) {
 
     /** No copy, and no known outage. */
-    public static final StoreStatus NONE = new StoreStatus(0, -1, -1);
+    public static final StoreStatus NONE = new StoreStatus(StoreRevision.NONE, -1, -1);
 }
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/FleetReportTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/FleetReportTest.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.toucanlane.coordination.store.StoreRevision;
 import org.toucanlane.edge.fleet.EndpointUsage;
 import org.toucanlane.edge.fleet.PromptSegment;
 import org.toucanlane.edge.limit.AccountUsage;
@@ -19,7 +20,8 @@
 class FleetReportTest {
 
     private static final FleetReport REPORT = new FleetReport(
-            new FleetReport.Header(-5, 1_700_000_000_000L, 9, 7, true, new StoreStatus(33, 120, -1)),
+            new FleetReport.Header(
+                    -5, 1_700_000_000_000L, 9, 7, true, new StoreStatus(new StoreRevision(2, 33), 120, -1), 17),
             List.of(new RegionReport(
                     "south",
                     40,
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/ReceivedReportsTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/ReceivedReportsTest.java
@@ -121,7 +121,7 @@
     private static FleetReport report(
             long acknowledged, Set<String> hosts, Map<Integer, EndpointUsage> endpoints, AccountUsage usage) {
         return new FleetReport(
-                new FleetReport.Header(0, 1, 9, acknowledged, true, StoreStatus.NONE),
+                new FleetReport.Header(0, 1, 9, acknowledged, true, StoreStatus.NONE, 0),
                 List.of(new RegionReport("south", 0, true, tags(hosts), endpoints, Map.of("acme", usage), Map.of())));
     }
 
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/state/StoreMirrorTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/state/StoreMirrorTest.java
@@ -13,6 +13,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.toucanlane.coordination.store.AsyncStore;
@@ -21,6 +23,7 @@
 import org.toucanlane.coordination.store.StoreItem;
 import org.toucanlane.coordination.store.StoreLease;
 import org.toucanlane.coordination.store.StorePage;
+import org.toucanlane.coordination.store.StoreRevision;
 import org.toucanlane.coordination.store.StoreTransaction;
 import org.toucanlane.edge.telemetry.DecisionLog;
 
@@ -29,8 +32,8 @@
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final ScriptedStore store = new ScriptedStore();
     private final Map<String, String> copy = new TreeMap<>();
-    private final FreshnessLease freshness =
-            new FreshnessLease(System::nanoTime, System::currentTimeMillis, Duration.ofSeconds(30));
+    private long now = Duration.ofHours(1).toNanos();
+    private final FreshnessLease freshness = new FreshnessLease(() -> now, this::wallMillis, Duration.ofSeconds(30));
     private int unreachableCount;
     private StoreMirror mirror;
 
@@ -38,7 +41,7 @@
     void start() {
         StoreMirror.Listener listener = new StoreMirror.Listener() {
             @Override
-            public void changed(String key, Optional<byte[]> value, long revision) {
+            public void changed(String key, Optional<byte[]> value) {
                 value.ifPresentOrElse(
                         bytes -> copy.put(key, new String(bytes, StandardCharsets.UTF_8)), () -> copy.remove(key));
             }
@@ -54,7 +57,7 @@
             }
         };
         mirror = new StoreMirror(
-                store, channel.eventLoop(), freshness, new DecisionLog("test"), listener, Duration.ofSeconds(1));
+                store, channel.eventLoop(), freshness, new DecisionLog("test"), listener, "era", Duration.ofSeconds(1));
         mirror.start();
     }
 
@@ -122,17 +125,17 @@
         mirror.setFollower(true);
         store.page(false, 5);
         assertThat(store.pendingCalls()).isZero();
-        mirror.receivePeerStatus(new StoreStatus(5, 10, -1), System.nanoTime());
+        mirror.receivePeerStatus(status(5, 10, -1), now);
         advance();
         assertThat(store.pendingCalls()).isZero();
-        assertThat(mirror.status().revision()).isEqualTo(5);
+        assertThat(mirror.status().revision().number()).isEqualTo(5);
     }
 
     @Test
     void fetchesARevisionThatOnlyAnotherHostHas() {
         mirror.setFollower(true);
         store.page(false, 5);
-        mirror.receivePeerStatus(new StoreStatus(7, 10, -1), System.nanoTime());
+        mirror.receivePeerStatus(status(7, 10, -1), now);
         advance();
         assertThat(store.watchedFrom()).isEqualTo(5);
         store.changes(7, put("a", "1", 7));
@@ -147,25 +150,142 @@
      */
     @Test
     void renewsItsLeaseFromAPeerOnlyForARevisionThatItHas() {
-        long[] now = {System.nanoTime()};
-        FreshnessLease lease = new FreshnessLease(() -> now[0], () -> now[0] / 1_000_000, Duration.ofSeconds(3));
+        FreshnessLease lease = new FreshnessLease(() -> now, this::wallMillis, Duration.ofSeconds(3));
         StoreMirror other = new StoreMirror(
-                store, channel.eventLoop(), lease, new DecisionLog("test"), NO_OP_LISTENER, Duration.ofSeconds(1));
+                store,
+                channel.eventLoop(),
+                lease,
+                new DecisionLog("test"),
+                NO_OP_LISTENER,
+                "era",
+                Duration.ofSeconds(1));
         store.page(false, 5);
         store.fail(AsyncStoreException.Reason.UNAVAILABLE);
         other.start();
         store.page(false, 5);
-        now[0] += Duration.ofSeconds(4).toNanos();
-        other.receivePeerStatus(new StoreStatus(6, 0, -1), now[0]);
+        now += Duration.ofSeconds(4).toNanos();
+        other.receivePeerStatus(status(6, 0, -1), now);
         assertThat(lease.isValid()).isFalse();
-        other.receivePeerStatus(new StoreStatus(5, 3_500, -1), now[0]);
+        other.receivePeerStatus(status(5, 3_500, -1), now);
         assertThat(lease.isValid()).isFalse();
-        other.receivePeerStatus(new StoreStatus(5, -1, -1), now[0]);
+        other.receivePeerStatus(status(5, -1, -1), now);
         assertThat(lease.isValid()).isFalse();
-        other.receivePeerStatus(new StoreStatus(5, 500, -1), now[0]);
+        other.receivePeerStatus(status(5, 500, -1), now);
         assertThat(lease.ageMillis()).isEqualTo(500);
     }
 
+    @Test
+    void readsTheRestoredStoreAgainAlthoughItsRevisionsAreLower() {
+        startInEra(3, 50, item("a", "1", 40), item("b", "2", 50));
+        store.beginEra(4);
+        assertThat(freshness.isValid()).isFalse();
+        store.dropCalls(1);
+        store.page(false, 21, item("a", "restored", 20), item("c", "3", 21));
+        assertThat(copy).containsEntry("a", "restored").containsEntry("c", "3");
+        assertThat(mirror.status().revision()).isEqualTo(new StoreRevision(4, 21));
+        store.changes(22, put("a", "again", 22));
+        assertThat(copy).containsEntry("a", "again");
+    }
+
+    @Test
+    void keepsLostKeysForTheSettlingTimeAndThenRemovesThem() {
+        startInEra(3, 50, item("a", "1", 40), item("b", "2", 50), item("c", "3", 30));
+        store.beginEra(4);
+        store.dropCalls(1);
+        store.page(false, 21, item("a", "1", 20));
+        assertThat(copy).containsOnlyKeys("a", "b", "c");
+        store.changes(22, put("b", "2", 22));
+        settle();
+        assertThat(copy).containsOnlyKeys("a", "b");
+    }
+
+    @Test
+    void isFreshInANewEraOnlyByAReadAfterTheSettlingTime() {
+        startInEra(3, 50, item("a", "1", 40));
+        store.beginEra(4);
+        store.dropCalls(1);
+        store.page(false, 21, item("a", "1", 20));
+        mirror.receivePeerStatus(status(4, 21, 0, -1), now);
+        assertThat(freshness.isValid()).as("before the settling time").isFalse();
+        settle();
+        store.dropCalls(1);
+        store.changes(21);
+        assertThat(freshness.isValid()).as("after the settling time").isTrue();
+    }
+
+    /** Guards against a proof that compares revisions of two eras: 50 of era 3 is not newer than 21 of era 4. */
+    @Test
+    void ignoresAPeerOfAnEarlierEraAndFollowsOneOfALaterEra() {
+        startInEra(3, 50, item("a", "1", 40));
+        mirror.receivePeerStatus(status(4, 21, 0, -1), now);
+        assertThat(freshness.isValid()).isFalse();
+        assertThat(mirror.era()).isEqualTo(4);
+        store.dropCalls(1);
+        store.page(false, 50, item("a", "old era", 50));
+        assertThat(copy).containsEntry("a", "1");
+        mirror.receivePeerStatus(status(3, 60, 0, -1), now);
+        assertThat(freshness.isValid()).isFalse();
+    }
+
+    @Test
+    void trustsAStoreAtOnceIfTheRecordShowsThatItsEraIsOld() {
+        store.beginEra(3);
+        long written = wallMillis() - 60_000;
+        store.page(false, 50, new StoreItem("era", new EraRecord(3, written).encode(), 40, 0));
+        assertThat(freshness.isValid()).isTrue();
+        assertThat(mirror.missingEraRecord()).isEmpty();
+    }
+
+    @Test
+    void doesNotTrustAStoreAtOnceWithoutARecordOfItsEra() {
+        store.beginEra(4);
+        long written = wallMillis() - 60_000;
+        store.page(false, 50, new StoreItem("era", new EraRecord(3, written).encode(), 40, 0));
+        assertThat(freshness.isValid()).isFalse();
+        assertThat(mirror.missingEraRecord()).map(EraRecord::era).contains(4L);
+    }
+
+    @Test
+    void makesNoCallsWhileAFollowerWaitsForTheSettlingTime() {
+        mirror.setFollower(true);
+        startInEra(3, 50);
+        store.beginEra(4);
+        store.page(false, 21);
+        assertThat(store.pendingCalls()).isZero();
+    }
+
+    private long wallMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(now);
+    }
+
+    /** Starts the mirror in an era that has lasted for long. */
+    private void startInEra(long era, long revision, StoreItem... items) {
+        store.beginEra(era);
+        StoreItem eraRecord = new StoreItem("era", new EraRecord(era, wallMillis() - 60_000).encode(), 1, 0);
+        store.page(
+                false,
+                revision,
+                Stream.concat(Stream.of(eraRecord), Stream.of(items)).toArray(StoreItem[]::new));
+        copy.remove("era");
+        assertThat(freshness.isValid()).isTrue();
+    }
+
+    /** Lets the settling time pass on all clocks. */
+    private void settle() {
+        now += EraTracker.SETTLING_TIME.toNanos();
+        channel.advanceTimeBy(EraTracker.SETTLING_TIME.toMillis(), TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+    }
+
+    /** Returns a status in an unknown era, as of a store that reports none. */
+    private static StoreStatus status(long revision, long ageMillis, long recoveredMillis) {
+        return status(StoreRevision.UNKNOWN_ERA, revision, ageMillis, recoveredMillis);
+    }
+
+    private static StoreStatus status(long era, long revision, long ageMillis, long recoveredMillis) {
+        return new StoreStatus(new StoreRevision(era, revision), ageMillis, recoveredMillis);
+    }
+
     private void advance() {
         channel.advanceTimeBy(1, TimeUnit.SECONDS);
         channel.runScheduledPendingTasks();
@@ -173,7 +293,7 @@
 
     private static final StoreMirror.Listener NO_OP_LISTENER = new StoreMirror.Listener() {
         @Override
-        public void changed(String key, Optional<byte[]> value, long revision) {
+        public void changed(String key, Optional<byte[]> value) {
             // Ignored.
         }
 
@@ -205,13 +325,15 @@
 
         private final Deque<CompletableFuture<?>> pendingCalls = new ArrayDeque<>();
         private long watched;
+        private long era = StoreRevision.UNKNOWN_ERA;
+        private LongConsumer eraListener;
 
         void page(boolean more, long revision, StoreItem... items) {
-            this.<StorePage>next().complete(new StorePage(List.of(items), more, revision));
+            this.<StorePage>next().complete(new StorePage(List.of(items), more, new StoreRevision(era, revision)));
         }
 
         void changes(long revision, StoreChanges.Change... changes) {
-            this.<StoreChanges>next().complete(new StoreChanges(List.of(changes), revision));
+            this.<StoreChanges>next().complete(new StoreChanges(List.of(changes), new StoreRevision(era, revision)));
         }
 
         void fail(AsyncStoreException.Reason reason) {
@@ -223,10 +345,28 @@
             return (CompletableFuture<T>) pendingCalls.removeFirst();
         }
 
+        /** Reports an era, as the next response does. */
+        void beginEra(long next) {
+            era = next;
+            eraListener.accept(next);
+        }
+
+        @Override
+        public void setEraListener(LongConsumer listener) {
+            eraListener = listener;
+        }
+
         long watchedFrom() {
             return watched;
         }
 
+        /** Drops calls that the mirror has abandoned. */
+        void dropCalls(int count) {
+            for (int i = 0; i < count; i++) {
+                pendingCalls.removeFirst();
+            }
+        }
+
         int pendingCalls() {
             return pendingCalls.size();
         }
@@ -249,7 +389,7 @@
         }
 
         @Override
-        public CompletableFuture<Long> commit(StoreTransaction transaction) {
+        public CompletableFuture<StoreRevision> commit(StoreTransaction transaction) {
             return enqueue();
         }
 
