Stop sending to endpoints that announce their shutdown or ask for a pause

Change: the head of any response with Server-Leaving ends new requests to that process, streams and errors included; a connection that is still being opened to it is not used. A pause is kept to in full; the endpoint is unusable meanwhile, in the reports to other hosts too. If all endpoints of a service in the region pause, callers are refused at once with the shortest of the pauses.

Other hosts of the region are not told of an announcement; each learns of it from its own next answer.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
@@ -61,6 +61,10 @@
     @Override
     public boolean onHead(HttpResponse response) {
         EndpointResponse parsed = dialect.readResponse(response);
+        if (parsed.leaving()) {
+            upstream.markLeaving();
+        }
+        parsed.retryAfter().ifPresent(upstream::pause);
         if (parsed.requestId().isPresent()
                 && !parsed.requestId().get().equals(admitted.head().id())) {
             return false;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointResponse.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointResponse.java
@@ -1,5 +1,6 @@
 package org.toucanlane.edge.call;
 
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -9,10 +10,18 @@
  * @param requestId id of the request that it answers, if the endpoint names it
  * @param notExecuted whether the endpoint guarantees that it has not run the request
  * @param misdirected whether the response comes from an endpoint other than the intended one
+ * @param leaving whether the endpoint announces that it is about to shut down and wants no new requests
+ * @param retryAfter time for which the endpoint, having rejected the request, wants no requests from this host
  * @param hasSeal whether the response carries the mark by which an endpoint identifies its own responses
  */
 public record EndpointResponse(
-        int status, Optional<String> requestId, boolean notExecuted, boolean misdirected, boolean hasSeal) {
+        int status,
+        Optional<String> requestId,
+        boolean notExecuted,
+        boolean misdirected,
+        boolean leaving,
+        Optional<Duration> retryAfter,
+        boolean hasSeal) {
 
     /** Returns whether the status is 2xx. */
     public boolean isSuccess() {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
 import java.util.Optional;
 import org.toucanlane.edge.fleet.EndpointHandle;
 import org.toucanlane.edge.fleet.Reservation;
@@ -43,6 +44,16 @@
         reservation.end(result);
     }
 
+    @Override
+    public void markLeaving() {
+        endpoint.drain();
+    }
+
+    @Override
+    public void pause(Duration time) {
+        endpoint.pause(time, System.nanoTime());
+    }
+
     @Override
     public void markReplaced() {
         endpoint.drain();
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
 import java.util.Optional;
 import org.toucanlane.edge.fleet.HostHandle;
 import org.toucanlane.edge.fleet.Reservation;
@@ -41,6 +42,16 @@
         // The other host releases the reservation on its endpoint.
     }
 
+    @Override
+    public void markLeaving() {
+        // The other host stops using its endpoint.
+    }
+
+    @Override
+    public void pause(Duration time) {
+        // The other host pauses its endpoint.
+    }
+
     @Override
     public void markReplaced() {
         // The address of a host can't be reassigned while its lease is held.
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -113,9 +113,16 @@
 
     private CallRefusedException noDestination(AdmittedCall call, long now) {
         List<EndpointHandle> known = fleet.endpointsOf(call.service());
-        boolean allCold = known.stream()
+        Optional<Duration> pause = shortestPause(call, known, now);
+        if (pause.isPresent()) {
+            return new CallRefusedException(
+                    ErrorKind.OVERLOADED,
+                    pause.get(),
+                    "all endpoints of service " + call.service() + " in this region have asked for a pause");
+        }
+        boolean anyCold = known.stream()
                 .anyMatch(endpoint -> isLocal(endpoint) && endpoint.isUsable(now) && endpoint.isCold(now));
-        if (allCold) {
+        if (anyCold) {
             return new CallRefusedException(
                     ErrorKind.OVERLOADED, COLD_RETRY_AFTER, "remaining endpoints in this region are still warming up");
         }
@@ -131,6 +138,21 @@
         return new CallRefusedException(ErrorKind.NO_ENDPOINT, NO_ENDPOINT_RETRY_AFTER, detail);
     }
 
+    /** Returns the shortest pause of the region's endpoints if all of them that don't leave are paused. */
+    private Optional<Duration> shortestPause(AdmittedCall call, List<EndpointHandle> known, long now) {
+        List<EndpointHandle> staying = known.stream()
+                .filter(endpoint -> isLocal(endpoint)
+                        && call.mayRunIn(region)
+                        && !endpoint.isDraining()
+                        && !fleet.isEvacuated(endpoint.entry().dataCentre()))
+                .toList();
+        boolean allPaused = staying.stream()
+                .noneMatch(endpoint -> endpoint.remainingPause(now).isZero());
+        return allPaused
+                ? staying.stream().map(endpoint -> endpoint.remainingPause(now)).min(Comparator.naturalOrder())
+                : Optional.empty();
+    }
+
     private boolean isLocal(EndpointHandle endpoint) {
         return fleet.regionOf(endpoint).equals(region);
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Upstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Upstream.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
 import java.util.Optional;
 import org.toucanlane.edge.fleet.Reservation;
 import org.toucanlane.edge.http.ExchangeListener;
@@ -24,6 +25,12 @@
     /** Releases the reservation held for the attempt and records its result. */
     void release(Reservation.Outcome result);
 
+    /** Records that the upstream has announced that it is leaving; it gets no further requests. */
+    void markLeaving();
+
+    /** Records that the upstream wants no requests from this host for {@code time}. */
+    void pause(Duration time);
+
     /** Records that the address now belongs to another endpoint. */
     void markReplaced();
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
@@ -84,6 +84,7 @@
     private long coldSince = System.nanoTime();
     private long lastColdSlot = -1;
     private long overloadedUntil = System.nanoTime();
+    private long pausedUntil = System.nanoTime();
     private boolean draining;
 
     EndpointHandle(EndpointRegistration entry, ChannelPool pool, long memoryTokens) {
@@ -137,7 +138,11 @@
 
     /** Returns whether requests may be sent to the endpoint now, not considering its cold-start rate limit. */
     public boolean isUsable(long now) {
-        return !draining && !health.isEjected(now) && !isStalled(now) && overloadedUntil - now <= 0;
+        return !draining
+                && !health.isEjected(now)
+                && !isStalled(now)
+                && overloadedUntil - now <= 0
+                && pausedUntil - now <= 0;
     }
 
     private boolean isStalled(long now) {
@@ -233,6 +238,19 @@
         overloadedUntil = now + OVERLOAD_BACKOFF.toNanos();
     }
 
+    /** Sends no requests to the endpoint for {@code time} from {@code now}, as it has asked. */
+    public void pause(Duration time, long now) {
+        long until = now + time.toNanos();
+        if (until - pausedUntil > 0) {
+            pausedUntil = until;
+        }
+    }
+
+    /** Returns the rest of the time for which the endpoint has asked for no requests, or zero. */
+    public Duration remainingPause(long now) {
+        return Duration.ofNanos(Math.max(0, pausedUntil - now));
+    }
+
     void recordSuccess(long now) {
         health.recordSuccess();
         setFailureRate(failureRate(now) * (1 - SMOOTHING_FACTOR), now);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ChannelPool.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ChannelPool.java
@@ -48,15 +48,17 @@
             reused.send(request, listener);
         } else if (closed || open.size() + connectingCount >= settings.maxConnections()) {
             request.release();
-            listener.onFailed(
-                    ExchangeListener.Stage.NOT_SENT,
-                    new ConnectException("no free connection to " + address
-                            + ": the pool is closed or has reached its connection limit"));
+            listener.onFailed(ExchangeListener.Stage.NOT_SENT, poolUnavailable());
         } else {
             connect(request, listener);
         }
     }
 
+    private ConnectException poolUnavailable() {
+        return new ConnectException(
+                "no free connection to " + address + ": the pool is closed or has reached its connection limit");
+    }
+
     private ClientChannelHandler takeIdle() {
         long now = System.nanoTime();
         ClientChannelHandler handler = idle.pollLast();
@@ -91,12 +93,13 @@
             if (pending.cancelled) {
                 request.release();
                 done.channel().close();
-            } else if (done.isSuccess()) {
+            } else if (done.isSuccess() && !closed) {
                 open.add(handler);
                 handler.send(request, listener);
             } else {
                 request.release();
-                listener.onFailed(ExchangeListener.Stage.NOT_SENT, done.cause());
+                done.channel().close();
+                listener.onFailed(ExchangeListener.Stage.NOT_SENT, done.isSuccess() ? poolUnavailable() : done.cause());
             }
         });
     }
