--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
@@ -1,7 +1,6 @@
 package org.toucanlane.edge.call;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.IOException;
@@ -19,7 +18,7 @@
  * response that isn't a stream is delivered only when it is complete; of a stream, only complete events are delivered.
  * Used on the host's event loop only.
  */
-final class Attempt implements ExchangeListener {
+final class Attempt implements ExchangeListener, ResponseBuffers.Buffer {
 
     /** Maximum size of a response that isn't a stream; it is buffered in memory until it is complete. */
     private static final int MAX_RESPONSE_BYTES = 8 << 20;
@@ -29,7 +28,8 @@
     private final Upstream upstream;
     private final Listener listener;
     private final EventSplitter splitter;
-    private final CompositeByteBuf bufferedBody = Unpooled.compositeBuffer(64);
+    private final ResponseBuffers buffers;
+    private final ByteBuf bufferedBody = Unpooled.buffer(0);
     private ClientCall call;
     private HttpResponse head;
     private EndpointResponse endpointResponse;
@@ -42,10 +42,17 @@
      *
      * @param lastEvent id of the last event that the caller has received, or -1
      */
-    Attempt(CallDialect dialect, AdmittedCall admitted, Upstream upstream, long lastEvent, Listener listener) {
+    Attempt(
+            CallDialect dialect,
+            AdmittedCall admitted,
+            Upstream upstream,
+            long lastEvent,
+            ResponseBuffers buffers,
+            Listener listener) {
         this.dialect = dialect;
         this.admitted = admitted;
         this.upstream = upstream;
+        this.buffers = buffers;
         this.listener = listener;
         this.splitter = new EventSplitter(lastEvent);
     }
@@ -106,24 +113,30 @@
         if (done) {
             return;
         }
-        if (last && (splitter.hasPartialEvent() || splitter.eventCount() == 0)) {
+        if (!last) {
+            buffers.update(this, splitter.partialEventBytes());
+        } else if (splitter.partialEventBytes() > 0 || splitter.eventCount() == 0) {
             failInvalidResponse(new IOException("event stream ended inside an event or without a new event id"));
-        } else if (last) {
+        } else {
             finish(Reservation.Outcome.COMPLETE);
             listener.onStreamComplete();
         }
     }
 
     private void bufferBody(ByteBuf content, boolean last) {
-        if (content.isReadable()) {
-            bufferedBody.addComponent(true, content);
-        } else {
+        int size = bufferedBody.readableBytes() + content.readableBytes();
+        if (size > MAX_RESPONSE_BYTES) {
             content.release();
-        }
-        if (bufferedBody.readableBytes() > MAX_RESPONSE_BYTES) {
             failInvalidResponse(new IOException("response exceeds the limit of " + MAX_RESPONSE_BYTES + " bytes"));
-        } else if (last) {
+            return;
+        }
+        // Copies the bytes, since a slice keeps the whole buffer of a socket read, however few bytes it holds.
+        bufferedBody.writeBytes(content);
+        content.release();
+        if (last) {
             handleCompleteResponse();
+        } else {
+            buffers.update(this, size);
         }
     }
 
@@ -171,8 +184,16 @@
                 stage + " " + cause);
     }
 
+    @Override
+    public void giveUp(String reason) {
+        if (!done) {
+            failInvalidResponse(new IOException(reason));
+        }
+    }
+
     private void finish(Reservation.Outcome result) {
         done = true;
+        buffers.remove(this);
         upstream.release(result);
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -169,7 +169,8 @@
     }
 
     private void startAttempt(Upstream upstream, HttpHeaders headers) {
-        Attempt attempt = new Attempt(context.dialect(), admitted, upstream, lastEvent, this);
+        Attempt attempt =
+                new Attempt(context.dialect(), admitted, upstream, lastEvent, context.responseBuffers(), this);
         attempts.add(attempt);
         currentAttempt = attempt;
         FullHttpRequest request = new DefaultFullHttpRequest(
@@ -188,10 +189,13 @@
 
     @Override
     public void onEvents(HttpResponse head, ByteBuf events, long lastId) {
-        lastEvent = lastId;
         long now = System.nanoTime();
         double gapMillis = (now - lastProgressNanos) / NANOS_PER_MILLI;
-        lastProgressNanos = now;
+        if (lastId > lastEvent) {
+            // Comments and other events without an id are no progress.
+            lastProgressNanos = now;
+        }
+        lastEvent = lastId;
         if (responseStarted) {
             context.metrics().recordStreamGap(admitted.route().name(), gapMillis);
             inbound.responder().send(events);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallContext.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallContext.java
@@ -22,6 +22,7 @@
  * @param limiter account limits
  * @param retryBudgets retry budgets by service
  * @param promptSentListener receives each endpoint and the prompt parts sent to it
+ * @param responseBuffers memory for incomplete responses
  * @param repeatableCalls requests in progress that may be sent again if they stall
  * @param log decision log
  * @param metrics counters and histograms
@@ -34,6 +35,7 @@
         AccountLimiter limiter,
         RetryBudgets retryBudgets,
         BiConsumer<EndpointHandle, List<PromptSegment>> promptSentListener,
+        ResponseBuffers responseBuffers,
         Set<Call> repeatableCalls,
         DecisionLog log,
         CallMetrics metrics,
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -28,6 +28,9 @@
     /** Retry delay of a host that is shutting down. It is short because the retry goes to another host. */
     private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(20);
 
+    /** Maximum number of bytes of incomplete responses that a host buffers. */
+    private static final long MAX_BUFFERED_RESPONSE_BYTES = 16L << 20;
+
     private final CallContext context;
     private final CallAdmission admission;
     private boolean closed;
@@ -68,6 +71,7 @@
                 state.limiter(),
                 new CallContext.RetryBudgets(retryLimits.retriesPerRequest(), retryLimits.maxSavedRetries()),
                 promptSentListener,
+                new ResponseBuffers(MAX_BUFFERED_RESPONSE_BYTES),
                 new LinkedHashSet<>(),
                 log,
                 metrics,
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EventSplitter.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EventSplitter.java
@@ -14,7 +14,7 @@
 final class EventSplitter {
 
     /** Maximum size of an event. A model engine does not send longer ones. */
-    private static final int MAX_EVENT_BYTES = 1 << 20;
+    private static final int MAX_EVENT_BYTES = 64 << 10;
 
     private ByteBuf remainder = Unpooled.EMPTY_BUFFER;
     private long lastId;
@@ -114,9 +114,9 @@
         }
     }
 
-    /** Returns whether the buffered data ends inside an event. */
-    boolean hasPartialEvent() {
-        return remainder.isReadable();
+    /** Returns the number of buffered bytes of an event that is not yet complete. */
+    int partialEventBytes() {
+        return remainder.readableBytes();
     }
 
     /** Returns the id of the last complete event, or the initial id if there was none. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -31,6 +31,12 @@
      */
     private static final double IDLE_TIME_FRACTION = 0.6;
 
+    /** Maximum number of informational (1xx) responses before the response to a request. */
+    private static final int MAX_INFORMATIONAL_RESPONSES = 8;
+
+    /** Maximum size of responses to other requests that are skipped before the response to a request. */
+    private static final int MAX_DISCARDED_BYTES = 256 << 10;
+
     private final ChannelPool pool;
     private final long defaultIdleNanos;
     private ChannelHandlerContext context;
@@ -40,6 +46,8 @@
     private boolean keepAlive;
     private boolean mismatched;
     private boolean hadMismatch;
+    private int informationalCount;
+    private int discardedBytes;
     private long usableUntil;
     private long idleNanos;
 
@@ -60,6 +68,8 @@
         written = false;
         receivingResponse = false;
         keepAlive = false;
+        informationalCount = 0;
+        discardedBytes = 0;
         receiver.onStarted(this);
         if (listener != receiver) {
             request.release();
@@ -94,6 +104,10 @@
 
     private void readHead(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            informationalCount++;
+            if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
+                fail(new IOException("more than " + MAX_INFORMATIONAL_RESPONSES + " informational responses"));
+            }
             return;
         }
         receivingResponse = true;
@@ -122,6 +136,10 @@
         if (mismatched) {
             receivingResponse = !last;
             mismatched = !last;
+            discardedBytes += content.content().readableBytes();
+            if (discardedBytes > MAX_DISCARDED_BYTES) {
+                fail(new IOException("responses to other requests exceed " + MAX_DISCARDED_BYTES + " bytes"));
+            }
             return;
         }
         ExchangeListener receiver = listener;
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/EventSplitterTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/EventSplitterTest.java
@@ -15,10 +15,10 @@
     @Test
     void returnsOnlyCompleteEvents() throws Exception {
         assertThat(split("id: 0\ndata: a\n\nid: 1\nda")).isEqualTo("id: 0\ndata: a\n\n");
-        assertThat(splitter.hasPartialEvent()).isTrue();
+        assertThat(splitter.partialEventBytes()).isEqualTo("id: 1\nda".length());
         assertThat(split("ta: b\n")).isEmpty();
         assertThat(split("\n")).isEqualTo("id: 1\ndata: b\n\n");
-        assertThat(splitter.hasPartialEvent()).isFalse();
+        assertThat(splitter.partialEventBytes()).isZero();
         assertThat(splitter.lastId()).isEqualTo(1);
     }
 
