Read up to a caller's close before its request is handled

Ruled out: the age of the request, which a host can't tell for bytes that waited in the socket.

Change: a connection is read until nothing more has arrived, at most 16 times in a row, and the request is handled after that read loop, if the connection is still open.

Measured: HostTest.sendsNothingOnForCallersThatLeftDuringAStall blocks the event loop until 20 callers have left: on the code before all of their requests reach the endpoint, now none.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -2,6 +2,7 @@
 
 import com.google.common.base.Preconditions;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -36,6 +37,9 @@
     /** Accept backlog. It absorbs the burst of reconnecting callers after a host restarts. */
     private static final int BACKLOG = 1024;
 
+    /** Reads from one connection before other connections get their turn. */
+    private static final int MAX_READS_IN_A_ROW = 16;
+
     /** Limits on the unsent bytes of one response. Above the high mark the source is paused. */
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 << 10, 128 << 10);
 
@@ -68,6 +72,12 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                // Reads until nothing more has arrived, so that a close behind a request is seen with the request.
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator()
+                                .respectMaybeMoreData(false)
+                                .maxMessagesPerRead(MAX_READS_IN_A_ROW))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel connection) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -30,8 +30,9 @@
 /**
  * Handles one connection of an {@link HttpServer}: reads complete requests and answers them in order.
  *
- * <p>Invariant: at most one request of the connection is being answered; messages that arrive meanwhile are queued in
- * {@code pending}. Used on one event loop only.
+ * <p>Invariants: at most one request of the connection is being answered; messages that arrive meanwhile are queued in
+ * {@code pending}. A request is not handled if its caller's close has arrived behind it, however long both have waited
+ * to be read. Used on one event loop only.
  */
 final class ServerChannelHandler extends ChannelInboundHandlerAdapter {
 
@@ -140,8 +141,20 @@
         ByteBuf fullBody = body;
         head = null;
         body = null;
-        activeResponder = new ChannelResponder(HttpUtil.isKeepAlive(request));
-        server.handler().handle(new InboundRequest(request, fullBody, activeResponder, System.nanoTime()));
+        ChannelResponder responder = new ChannelResponder(HttpUtil.isKeepAlive(request));
+        activeResponder = responder;
+        InboundRequest inbound = new InboundRequest(request, fullBody, responder, System.nanoTime());
+        // Runs after the read loop, which reads up to the end of what has arrived and so notices a caller that has
+        // left.
+        context.channel().eventLoop().execute(() -> handle(inbound));
+    }
+
+    private void handle(InboundRequest inbound) {
+        if (context.channel().isActive()) {
+            server.handler().handle(inbound);
+        } else {
+            inbound.body().release();
+        }
     }
 
     private void reject(ServerRejection.Reason reason) {
