--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/fleet/FleetTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/fleet/FleetTest.java
@@ -135,4 +135,66 @@
         assertThat(handle.load(System.nanoTime()).running()).isEqualTo(2);
         assertThat(handle.load(System.nanoTime()).usedKvTokens()).isEqualTo(4_000);
     }
+
+    @Test
+    void ignoresAProcessThatHadAnnouncedItsShutdownWhenItsEntryComesBack() {
+        fleet.endpointChanged("e", Optional.of(TestFixtures.endpoint("e", "s", "z", State.READY, 5)));
+        fleet.endpoint("e").orElseThrow().drain();
+        fleet.endpointChanged("e", Optional.empty());
+        fleet.endpointChanged("e", Optional.of(TestFixtures.endpoint("e", "s", "z", State.READY, 5)));
+        assertThat(fleet.endpoint("e")).isEmpty();
+        fleet.endpointChanged("e", Optional.of(TestFixtures.endpoint("e", "s", "z", State.READY, 6)));
+        assertThat(fleet.endpoint("e")).isPresent();
+    }
+
+    @Test
+    void ignoresTheEntryOfAnEarlierProcess() {
+        fleet.endpointChanged("e", Optional.of(TestFixtures.endpoint("e", "s", "z", State.READY, 6)));
+        EndpointHandle later = fleet.endpoint("e").orElseThrow();
+        fleet.endpointChanged("e", Optional.of(TestFixtures.endpoint("e", "s", "z", State.READY, 5)));
+        assertThat(fleet.endpoint("e")).contains(later);
+        fleet.endpointChanged("e", Optional.empty());
+        fleet.endpointChanged("e", Optional.of(TestFixtures.endpoint("e", "s", "z", State.READY, 5)));
+        assertThat(fleet.endpoint("e")).isEmpty();
+    }
+
+    /** An entry that lapsed comes back at once, unless it comes back with a restored store. */
+    @Test
+    void holdsBackAnEntryThatComesBackWithARestoredStore() {
+        fleet.endpointChanged("e", Optional.of(TestFixtures.endpoint("e", "s", "z", State.READY, 5)));
+        fleet.endpointChanged("e", Optional.empty());
+        fleet.endpointChanged("e", Optional.of(TestFixtures.endpoint("e", "s", "z", State.READY, 5)));
+        assertThat(fleet.endpoint("e")).isPresent();
+        fleet.endpointChanged("e", Optional.empty());
+        fleet.storeRestored(System.nanoTime());
+        fleet.endpointChanged("e", Optional.of(TestFixtures.endpoint("e", "s", "z", State.READY, 5)));
+        assertThat(fleet.endpoint("e")).isEmpty();
+    }
+
+    @Test
+    void keepsTheLaterProcessOfAHostInARestoredStore() {
+        HostRecord later = new HostRecord("h", "z", "z", "127.0.0.1", 1, 2, 3, 9, 1);
+        HostRecord earlier = new HostRecord("h", "z", "z", "127.0.0.1", 1, 2, 3, 8, 1);
+        fleet.hostChanged("h", Optional.of(later));
+        fleet.storeRestored(System.nanoTime());
+        fleet.hostChanged("h", Optional.of(earlier));
+        assertThat(fleet.host("h").orElseThrow().entry()).isEqualTo(later);
+    }
+
+    @Test
+    void knowsThatItsConfigurationIsOutdatedOnceAnotherHostHasHadANewerOneForLong() {
+        fleet.configurationChanged(
+                ServingConfiguration.of(7, List.of(), List.of(), Map.of(), List.of(), CallerLimits.DEFAULT));
+        long now = System.nanoTime();
+        fleet.recordConfigurationElsewhere(8, now);
+        assertThat(fleet.isConfigurationOutdated(now + TimeUnit.SECONDS.toNanos(2)))
+                .isFalse();
+        assertThat(fleet.isConfigurationOutdated(now + TimeUnit.SECONDS.toNanos(4)))
+                .isTrue();
+        assertThat(fleet.newestKnownConfiguration()).isEqualTo(8);
+        fleet.configurationChanged(
+                ServingConfiguration.of(8, List.of(), List.of(), Map.of(), List.of(), CallerLimits.DEFAULT));
+        assertThat(fleet.isConfigurationOutdated(now + TimeUnit.SECONDS.toNanos(4)))
+                .isFalse();
+    }
 }
