Keep long prompts apart from streams that they would hold up

Several critiques in a row hold up each stream of an engine for four prefill steps, 350 ms on the slower engines. Curb queries are bound to two of the three regions; critiques went everywhere, and each region read the shared rulebooks for itself.

Ruled out: the first event (9 of 1,367 over 600 ms), the hop (late streams are as frequent on local engines).

Change: PromptDemand measures the share of work of long prompts; LongPromptPool gives them the engines of regions that other requests may not use, then a part of the others, alike on all hosts. EndpointPlacer adds a penalty for the wrong side, half of the prefill as work, and ranks an endpoint last only if the request would be rejected there (AdmissionLimit, taken out of LoadShedder). Candidates of all regions are ranked together, so that a shared prefix gets one place. StreamPauses turns the division off where even full prefills stay within the target.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -63,6 +63,7 @@
     private boolean finished;
     private double estimateMillis;
     private double firstResponseMillis = -1;
+    private double longestGapMillis;
     private String lastCause = "";
     private long lastProgressNanos;
 
@@ -197,6 +198,7 @@
         }
         lastEvent = lastId;
         if (responseStarted) {
+            longestGapMillis = Math.max(longestGapMillis, gapMillis);
             context.metrics().recordStreamGap(admitted.route().name(), gapMillis);
             inbound.responder().send(events);
         } else {
@@ -215,6 +217,14 @@
 
     @Override
     public void onStreamComplete() {
+        if (attempts.size() == 1) {
+            Optional<EndpointHandle> endpoint =
+                    context.router().endpoint(attempts.get(0).upstream().name());
+            admitted.route()
+                    .maxEventGap()
+                    .ifPresent(target -> endpoint.ifPresent(
+                            known -> context.router().recordPause(known, longestGapMillis / target.toMillis())));
+        }
         inbound.responder().finish();
         finish("served", HttpResponseStatus.OK.code());
     }
@@ -442,6 +452,8 @@
                         estimateMillis,
                         "first_ms",
                         firstResponseMillis,
+                        "longest_gap_ms",
+                        longestGapMillis,
                         "total_ms",
                         elapsedMillis(),
                         "cause",
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Destination.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Destination.java
@@ -7,11 +7,26 @@
 /** The endpoint or host to which a request is sent next. */
 sealed interface Destination {
 
+    /** Returns the placement at the endpoint that is expected to run the request. */
+    Placement placement();
+
+    /** Returns the time that the way to the endpoint adds, in milliseconds. */
+    double roundTripMillis();
+
     /** Returns the estimated time to the first response in milliseconds. */
-    double estimateMillis();
+    default double estimateMillis() {
+        return placement().estimateMillis() + roundTripMillis();
+    }
 
     /** Returns the part of the estimate spent waiting for other requests, in milliseconds. */
-    double waitMillis();
+    default double waitMillis() {
+        return placement().waitMillis();
+    }
+
+    /** Returns the cost by which destinations are compared, in milliseconds. */
+    default double costMillis() {
+        return placement().costMillis() + roundTripMillis();
+    }
 
     /**
      * An endpoint in this region.
@@ -21,13 +36,8 @@
      */
     record Local(EndpointHandle endpoint, Placement placement) implements Destination {
         @Override
-        public double estimateMillis() {
-            return placement.estimateMillis();
-        }
-
-        @Override
-        public double waitMillis() {
-            return placement.waitMillis();
+        public double roundTripMillis() {
+            return 0;
         }
     }
 
@@ -35,8 +45,8 @@
      * A host in another region.
      *
      * @param host the selected host
-     * @param estimateMillis estimated time to the first response, including the round trip to the host
-     * @param waitMillis part of the estimate spent waiting for other requests
+     * @param placement the placement that the host is expected to decide
+     * @param roundTripMillis duration of a round trip to the host
      */
-    record Remote(HostHandle host, double estimateMillis, double waitMillis) implements Destination {}
+    record Remote(HostHandle host, Placement placement, double roundTripMillis) implements Destination {}
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -1,6 +1,7 @@
 package org.toucanlane.edge.call;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -15,7 +16,7 @@
 import org.toucanlane.edge.fleet.Fleet;
 import org.toucanlane.edge.fleet.HostHandle;
 import org.toucanlane.edge.fleet.HostRecord;
-import org.toucanlane.edge.fleet.PromptSegment;
+import org.toucanlane.policy.admission.AdmissionLimit;
 import org.toucanlane.policy.admission.LoadShedder;
 import org.toucanlane.policy.placement.ColdStartRateLimit;
 import org.toucanlane.policy.placement.EndpointPlacer;
@@ -34,8 +35,8 @@
     /** Latency added by forwarding to another region: a round trip between two distant hosts. */
     private static final double INTER_REGION_ROUND_TRIP_MILLIS = 130;
 
-    /** Minimum gain in the estimate that justifies the traffic between regions. */
-    private static final double REMOTE_MARGIN_MILLIS = 40;
+    /** Cost of forwarding to another region in milliseconds: the round trip, and a margin for the traffic. */
+    private static final double REMOTE_DISTANCE_MILLIS = INTER_REGION_ROUND_TRIP_MILLIS + 40;
 
     /** Retry delay if no endpoint is available; time for one to recover or for another to register. */
     private static final Duration NO_ENDPOINT_RETRY_AFTER = Duration.ofMillis(500);
@@ -52,6 +53,7 @@
     private final Predicate<HostHandle> responsive;
     private final RandomGenerator random;
     private final OverloadTracker overloadTracker = new OverloadTracker();
+    private final CandidateFinder candidateFinder;
     private final Map<RegionService, Long> backoffUntil = new HashMap<>();
 
     /**
@@ -67,6 +69,7 @@
         this.region = region;
         this.responsive = responsive;
         this.random = random;
+        this.candidateFinder = new CandidateFinder(fleet);
     }
 
     /**
@@ -77,21 +80,45 @@
      */
     Destination choose(AdmittedCall call, Set<String> tried) throws CallRefusedException {
         long now = System.nanoTime();
-        Optional<Destination.Local> localChoice = call.mayRunIn(region) ? local(call, tried, now) : Optional.empty();
-        boolean localFastEnough = localChoice.isPresent()
-                && localChoice.get().estimateMillis() <= INTER_REGION_ROUND_TRIP_MILLIS + REMOTE_MARGIN_MILLIS;
-        Optional<Destination.Remote> remoteChoice =
-                call.forwardedBy().isPresent() || localFastEnough ? Optional.empty() : remote(call, tried, now);
-        if (localChoice.isEmpty() && remoteChoice.isEmpty()) {
+        List<PlacementCandidate> candidates = new ArrayList<>(localCandidates(call, tried, now));
+        Optional<Placement> choice = place(call, candidates);
+        boolean fastEnough = choice.isPresent() && choice.get().costMillis() <= REMOTE_DISTANCE_MILLIS;
+        if (call.forwardedBy().isEmpty() && !fastEnough) {
+            candidates.addAll(remoteCandidates(call, tried, now));
+            choice = place(call, candidates);
+        }
+        Optional<Destination> destination = choice.flatMap(placement -> destination(placement, tried));
+        if (destination.isEmpty()) {
             throw noDestination(call, now);
         }
-        boolean useLocal = localChoice.isPresent()
-                && (remoteChoice.isEmpty()
-                        || localChoice.get().estimateMillis()
-                                <= remoteChoice.get().estimateMillis() + REMOTE_MARGIN_MILLIS);
-        Destination best = useLocal ? localChoice.get() : remoteChoice.get();
-        refuseIfOverloaded(call, best);
-        return best;
+        refuseIfOverloaded(call, destination.get());
+        if (call.forwardedBy().isEmpty() && tried.isEmpty()) {
+            candidateFinder.recordDemand(call, destination.get().placement(), now);
+        }
+        return destination.get();
+    }
+
+    private Optional<Placement> place(AdmittedCall call, List<PlacementCandidate> candidates) {
+        Optional<Prompt> prompt = call.head().prompt();
+        return EndpointPlacer.place(
+                candidates,
+                prompt.map(Prompt::size).orElse(PromptSize.NONE),
+                limitFor(call),
+                prompt.map(Prompt::prefixHash).orElse(0L),
+                random);
+    }
+
+    private Optional<Destination> destination(Placement placement, Set<String> tried) {
+        return fleet.endpoint(placement.endpoint()).flatMap(endpoint -> {
+            if (isLocal(endpoint)) {
+                return Optional.of(new Destination.Local(endpoint, placement));
+            }
+            List<HostHandle> hosts = reachableHosts(fleet.regionOf(endpoint), tried);
+            return hosts.isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(new Destination.Remote(
+                            hosts.get(random.nextInt(hosts.size())), placement, INTER_REGION_ROUND_TRIP_MILLIS));
+        });
     }
 
     private void refuseIfOverloaded(AdmittedCall call, Destination best) throws CallRefusedException {
@@ -99,8 +126,7 @@
         Optional<Duration> wait = LoadShedder.shed(
                 best.waitMillis(),
                 estimateMillis - best.waitMillis(),
-                call.routeBounds().minLatencyObjective(),
-                call.rank(),
+                limitFor(call),
                 overloadTracker.overloadDuration(call.service(), System.nanoTime()));
         if (wait.isPresent()) {
             overloadTracker.recordRefusal(call.service(), System.nanoTime());
@@ -111,6 +137,10 @@
         }
     }
 
+    private static AdmissionLimit limitFor(AdmittedCall call) {
+        return new AdmissionLimit(call.routeBounds().minLatencyObjective(), call.rank());
+    }
+
     private CallRefusedException noDestination(AdmittedCall call, long now) {
         List<EndpointHandle> known = fleet.endpointsOf(call.service());
         Optional<Duration> pause = shortestPause(call, known, now);
@@ -157,34 +187,17 @@
         return fleet.regionOf(endpoint).equals(region);
     }
 
-    private Optional<Destination.Local> local(AdmittedCall call, Set<String> tried, long now) {
-        return place(
+    private List<PlacementCandidate> localCandidates(AdmittedCall call, Set<String> tried, long now) {
+        return call.mayRunIn(region)
+                ? candidateFinder.find(
                         call,
                         region,
-                        now,
+                        0,
                         endpoint -> endpoint.isUsable(now)
                                 && !tried.contains(endpoint.id())
-                                && hasColdCapacity(endpoint, now))
-                .flatMap(placement -> fleet.endpoint(placement.endpoint())
-                        .map(endpoint -> new Destination.Local(endpoint, placement)));
-    }
-
-    /**
-     * Returns the best endpoint in region {@code where} that {@code eligible} accepts and whose data centre isn't being
-     * evacuated.
-     */
-    private Optional<Placement> place(AdmittedCall call, String where, long now, Predicate<EndpointHandle> eligible) {
-        Optional<Prompt> prompt = call.head().prompt();
-        List<PromptSegment> parts = prompt.map(Prompt::parts).orElse(List.of());
-        List<PlacementCandidate> candidates = fleet.endpointsOf(call.service()).stream()
-                .filter(endpoint -> fleet.regionOf(endpoint).equals(where)
-                        && !fleet.isEvacuated(endpoint.entry().dataCentre())
-                        && eligible.test(endpoint))
-                .map(endpoint -> new PlacementCandidate(endpoint.load(now), endpoint.cachedTokensOf(parts)))
-                .toList();
-        PromptSize size = prompt.map(Prompt::size).orElse(PromptSize.NONE);
-        return EndpointPlacer.place(
-                candidates, size, prompt.map(Prompt::prefixHash).orElse(0L), random);
+                                && hasColdCapacity(endpoint, now),
+                        now)
+                : List.of();
     }
 
     private boolean hasColdCapacity(EndpointHandle endpoint, long now) {
@@ -222,6 +235,11 @@
         }
     }
 
+    /** Returns the endpoint with this name, or empty if {@code name} is unknown or the name of a host. */
+    Optional<EndpointHandle> endpoint(String name) {
+        return fleet.endpoint(name);
+    }
+
     /** Records that a host in another region has refused a request for {@code service}. */
     void recordRefusal(String host, String service) {
         fleet.host(host)
@@ -230,32 +248,41 @@
                         System.nanoTime() + REFUSING_REGION_BACKOFF.toNanos()));
     }
 
+    /**
+     * Records a stream of {@code endpoint} that has ended.
+     *
+     * @param pauseToTarget its longest pause, divided by the longest pause at which it is on time
+     */
+    void recordPause(EndpointHandle endpoint, double pauseToTarget) {
+        candidateFinder.recordPause(endpoint, pauseToTarget);
+    }
+
     private record RegionService(String region, String service) {}
 
-    private Optional<Destination.Remote> remote(AdmittedCall call, Set<String> tried, long now) {
+    private List<PlacementCandidate> remoteCandidates(AdmittedCall call, Set<String> tried, long now) {
         return fleet.hosts().stream()
                 .map(host -> host.entry().region())
                 .distinct()
-                .filter(other -> !other.equals(region) && call.mayRunIn(other))
-                .flatMap(other -> remote(call, other, tried, now).stream())
-                .min(Comparator.comparingDouble(Destination.Remote::estimateMillis));
+                .filter(other -> !other.equals(region)
+                        && call.mayRunIn(other)
+                        && backoffUntil.getOrDefault(new RegionService(other, call.service()), now) - now <= 0
+                        && !reachableHosts(other, tried).isEmpty())
+                .flatMap(other -> candidateFinder
+                        .find(
+                                call,
+                                other,
+                                REMOTE_DISTANCE_MILLIS,
+                                endpoint -> endpoint.isUsableElsewhere(now) && !endpoint.isCold(now),
+                                now)
+                        .stream())
+                .toList();
     }
 
-    private Optional<Destination.Remote> remote(AdmittedCall call, String other, Set<String> tried, long now) {
-        if (backoffUntil.getOrDefault(new RegionService(other, call.service()), now) - now > 0) {
-            return Optional.empty();
-        }
-        List<HostHandle> reachable = fleet.hosts().stream()
+    private List<HostHandle> reachableHosts(String other, Set<String> tried) {
+        return fleet.hosts().stream()
                 .filter(host -> host.entry().region().equals(other)
                         && responsive.test(host)
                         && !tried.contains(host.entry().name()))
                 .toList();
-        if (reachable.isEmpty()) {
-            return Optional.empty();
-        }
-        HostHandle host = reachable.get(random.nextInt(reachable.size()));
-        return place(call, other, now, endpoint -> endpoint.isUsableElsewhere(now) && !endpoint.isCold(now))
-                .map(placement -> new Destination.Remote(
-                        host, placement.estimateMillis() + INTER_REGION_ROUND_TRIP_MILLIS, placement.waitMillis()));
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
@@ -336,6 +336,11 @@
         return (int) idHash;
     }
 
+    /** Returns the hash of the endpoint id, by {@code RendezvousHash.hash}. */
+    public long idHash() {
+        return idHash;
+    }
+
     /** Returns the newest registry entry. */
     public EndpointRegistration entry() {
         return entry;
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/admission/LoadShedder.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/admission/LoadShedder.java
@@ -10,28 +10,14 @@
  * behind the others and nearly all responses would be late. With the backlog bounded by the latency objective, the
  * endpoints stay equally busy and their responses are on time.
  *
- * <p>The more urgent a request, the longer the backlog that it may join, so that less urgent requests leave capacity
- * for it. A request's own processing time counts only up to a fraction of the objective: a large prompt is slow at any
- * endpoint and would otherwise never be admitted. If no other request is ahead, it is always admitted, so that a wrong
- * estimate of an endpoint's speed is corrected by a new measurement.
+ * <p>{@link AdmissionLimit} bounds the backlog. If no other request is ahead, a request is always admitted, so that a
+ * wrong estimate of an endpoint's speed is corrected by a new measurement.
  *
  * <p>The retry-after delay is the expected remaining duration of the overload, which is assumed to last as long again
  * as it has lasted so far. Stateless and thread-safe.
  */
 public final class LoadShedder {
 
-    /** Fraction of the objective that the most urgent requests may use; the rest covers the error of the estimate. */
-    private static final double MAX_OBJECTIVE_FRACTION = 0.9;
-
-    /** Amount by which that fraction is lower for each further rank. */
-    private static final double FRACTION_PER_RANK = 0.1;
-
-    /** Fraction of the objective that the least urgent requests may use. */
-    private static final double MIN_OBJECTIVE_FRACTION = 0.55;
-
-    /** Fraction of the objective up to which a request's own processing time counts. */
-    private static final double OWN_TIME_FRACTION = 0.3;
-
     /** Minimum retry-after delay: the backlog of an endpoint changes within a few decoding steps. */
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(150);
 
@@ -48,19 +34,13 @@
      *
      * @param waitMillis part of the estimated time to the first response that is caused by other requests
      * @param ownMillis remainder of that time, which the request needs at an idle endpoint
-     * @param objective shortest latency objective of the requests for the same endpoints, so that a request with a
-     *     longer one does not fill the backlog that the others have to join
-     * @param rank urgency rank among the requests for the same endpoints; 0 is the most urgent
+     * @param limit limit for the request
      * @param overloadedFor time for which requests have been rejected without interruption
      * @return the delay after which to retry, or empty if the request is admitted
      */
     public static Optional<Duration> shed(
-            double waitMillis, double ownMillis, Duration objective, int rank, Duration overloadedFor) {
-        double objectiveMillis = objective.toMillis();
-        double fraction =
-                Math.max(MIN_OBJECTIVE_FRACTION, MAX_OBJECTIVE_FRACTION - FRACTION_PER_RANK * Math.max(0, rank));
-        double counted = waitMillis + Math.min(ownMillis, OWN_TIME_FRACTION * objectiveMillis);
-        double excess = counted - fraction * objectiveMillis;
+            double waitMillis, double ownMillis, AdmissionLimit limit, Duration overloadedFor) {
+        double excess = limit.excessMillis(waitMillis, ownMillis);
         if (excess <= 0) {
             return Optional.empty();
         }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/EndpointPlacer.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/EndpointPlacer.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.toucanlane.coordination.hash.RendezvousHash;
+import org.toucanlane.policy.admission.AdmissionLimit;
 
 /**
  * Places a request at the endpoint with the lowest expected time to first response.
@@ -28,17 +29,32 @@
     /** Milliseconds that a failed request costs its caller: a retry after a short backoff. */
     private static final double FAILURE_PENALTY_MILLIS = 1_000;
 
+    /** Milliseconds of latency that are worth a millisecond of prefill, which delays other requests. */
+    private static final double WORK_WEIGHT = 0.5;
+
+    /** Milliseconds of latency that are accepted to keep long prompts and other streams apart. */
+    private static final double MISPLACEMENT_PENALTY_MILLIS = 150;
+
+    /** Penalty that ranks an endpoint at which the request would be rejected after all others. */
+    private static final double REJECTION_PENALTY_MILLIS = 2_000;
+
     private EndpointPlacer() {}
 
     /**
      * Returns the placement at one of {@code candidates}, or empty if there are none.
      *
+     * @param limit limit above which the request would be rejected at an endpoint
      * @param affinity hash of the shared prompt prefix, or 0 if there is none
      */
     public static Optional<Placement> place(
-            List<PlacementCandidate> candidates, PromptSize size, long affinity, RandomGenerator random) {
-        List<Scored> scored =
-                candidates.stream().map(candidate -> score(candidate, size)).toList();
+            List<PlacementCandidate> candidates,
+            PromptSize size,
+            AdmissionLimit limit,
+            long affinity,
+            RandomGenerator random) {
+        List<Scored> scored = candidates.stream()
+                .map(candidate -> score(candidate, size, limit))
+                .toList();
         double best = scored.stream().mapToDouble(Scored::cost).min().orElse(0);
         double tolerance = TIE_TOLERANCE_MILLIS
                 + (affinity == 0
@@ -50,7 +66,13 @@
         if (close.isEmpty()) {
             return Optional.empty();
         }
-        Scored chosen = affinity == 0 ? close.get(random.nextInt(close.size())) : highestRanked(close, affinity);
+        if (affinity == 0) {
+            return Optional.of(close.get(random.nextInt(close.size())).placement());
+        }
+        Scored chosen = close.stream()
+                .filter(entry -> entry.cachedTokens() * 2 > size.sharedPrefixTokens())
+                .min(Comparator.comparingDouble(Scored::cost))
+                .orElseGet(() -> highestRanked(close, affinity));
         return Optional.of(chosen.placement());
     }
 
@@ -61,14 +83,26 @@
                 .orElseThrow();
     }
 
-    private static Scored score(PlacementCandidate candidate, PromptSize size) {
+    private static Scored score(PlacementCandidate candidate, PromptSize size, AdmissionLimit limit) {
         long newTokens = Math.max(0, size.promptTokens() - candidate.cachedTokens());
         EndpointLoad load = candidate.load();
         double estimate = LatencyEstimator.estimateMillis(load, newTokens, newTokens + size.maxOutputTokens());
-        double cost = estimate + load.failureRate() * FAILURE_PENALTY_MILLIS;
         double wait = Math.max(0, estimate - LatencyEstimator.unloadedMillis(load, newTokens));
-        return new Scored(load, new Placement(load.endpoint(), estimate, wait, newTokens), cost);
+        double cost = estimate
+                + candidate.distanceMillis()
+                + newTokens / LatencyEstimator.PREFILL_TOKENS_PER_MILLI * WORK_WEIGHT
+                + load.failureRate() * FAILURE_PENALTY_MILLIS
+                + candidate.misplacement() * misplacementMillis(size, newTokens)
+                + (limit.admits(wait, estimate - wait + candidate.distanceMillis()) ? 0 : REJECTION_PENALTY_MILLIS);
+        return new Scored(
+                load, new Placement(load.endpoint(), estimate, wait, cost, newTokens), candidate.cachedTokens(), cost);
+    }
+
+    /** Returns the penalty for a request on the wrong side of the division; a long prefill holds up running streams. */
+    private static double misplacementMillis(PromptSize size, long newTokens) {
+        return MISPLACEMENT_PENALTY_MILLIS
+                + (LongPromptPool.isLong(size) ? newTokens / LatencyEstimator.PREFILL_TOKENS_PER_MILLI : 0);
     }
 
-    private record Scored(EndpointLoad load, Placement placement, double cost) {}
+    private record Scored(EndpointLoad load, Placement placement, long cachedTokens, double cost) {}
 }
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/admission/LoadShedderTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/admission/LoadShedderTest.java
@@ -34,11 +34,13 @@
 
     @Test
     void retryAfterDelayGrowsWithTheDurationOfTheOverload() {
-        Duration early = LoadShedder.shed(900, 10, OBJECTIVE, 0, Duration.ZERO).orElseThrow();
-        Duration late =
-                LoadShedder.shed(900, 10, OBJECTIVE, 0, Duration.ofSeconds(2)).orElseThrow();
+        Duration early = LoadShedder.shed(900, 10, new AdmissionLimit(OBJECTIVE, 0), Duration.ZERO)
+                .orElseThrow();
+        Duration late = LoadShedder.shed(900, 10, new AdmissionLimit(OBJECTIVE, 0), Duration.ofSeconds(2))
+                .orElseThrow();
         assertThat(late).isGreaterThan(early);
-        assertThat(LoadShedder.shed(900, 10, OBJECTIVE, 0, Duration.ofHours(1)).orElseThrow())
+        assertThat(LoadShedder.shed(900, 10, new AdmissionLimit(OBJECTIVE, 0), Duration.ofHours(1))
+                        .orElseThrow())
                 .isLessThanOrEqualTo(Duration.ofMillis(2_500));
     }
 
@@ -48,7 +50,8 @@
      */
     @Test
     void admitsARequestWithoutABacklogWhateverTheEstimate() {
-        assertThat(LoadShedder.shed(0, 60_000, OBJECTIVE, 5, Duration.ZERO)).isEmpty();
+        assertThat(LoadShedder.shed(0, 60_000, new AdmissionLimit(OBJECTIVE, 5), Duration.ZERO))
+                .isEmpty();
     }
 
     /** Simulates ten seconds at twice the capacity of an endpoint, with one request per millisecond. */
@@ -75,6 +78,6 @@
     }
 
     private static Optional<Duration> shed(double estimate, double own, int rank) {
-        return LoadShedder.shed(estimate - own, own, OBJECTIVE, rank, Duration.ZERO);
+        return LoadShedder.shed(estimate - own, own, new AdmissionLimit(OBJECTIVE, rank), Duration.ZERO);
     }
 }
