--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -63,6 +63,7 @@
     private boolean finished;
     private double estimateMillis;
     private double firstResponseMillis = -1;
+    private double longestGapMillis;
     private String lastCause = "";
     private long lastProgressNanos;
 
@@ -169,7 +170,8 @@
     }
 
     private void startAttempt(Upstream upstream, HttpHeaders headers) {
-        Attempt attempt = new Attempt(context.dialect(), admitted, upstream, lastEvent, this);
+        Attempt attempt =
+                new Attempt(context.dialect(), admitted, upstream, lastEvent, context.responseBuffers(), this);
         attempts.add(attempt);
         currentAttempt = attempt;
         FullHttpRequest request = new DefaultFullHttpRequest(
@@ -188,11 +190,15 @@
 
     @Override
     public void onEvents(HttpResponse head, ByteBuf events, long lastId) {
-        lastEvent = lastId;
         long now = System.nanoTime();
         double gapMillis = (now - lastProgressNanos) / NANOS_PER_MILLI;
-        lastProgressNanos = now;
+        if (lastId > lastEvent) {
+            // Comments and other events without an id are no progress.
+            lastProgressNanos = now;
+        }
+        lastEvent = lastId;
         if (responseStarted) {
+            longestGapMillis = Math.max(longestGapMillis, gapMillis);
             context.metrics().recordStreamGap(admitted.route().name(), gapMillis);
             inbound.responder().send(events);
         } else {
@@ -211,6 +217,14 @@
 
     @Override
     public void onStreamComplete() {
+        if (attempts.size() == 1) {
+            Optional<EndpointHandle> endpoint =
+                    context.router().endpoint(attempts.get(0).upstream().name());
+            admitted.route()
+                    .maxEventGap()
+                    .ifPresent(target -> endpoint.ifPresent(
+                            known -> context.router().recordPause(known, longestGapMillis / target.toMillis())));
+        }
         inbound.responder().finish();
         finish("served", HttpResponseStatus.OK.code());
     }
@@ -438,6 +452,8 @@
                         estimateMillis,
                         "first_ms",
                         firstResponseMillis,
+                        "longest_gap_ms",
+                        longestGapMillis,
                         "total_ms",
                         elapsedMillis(),
                         "cause",
