Delete a host's record only if it is the one that the process wrote

Cause: the commit on restored stores deletes the record by its key instead of revoking the lease by its id. A deletion that the store executes seconds late would then remove the record of the host's next process, which goes on renewing its lease and is unknown to the others until it restarts.

Change: the deletion has the revision of the record as its condition. Leases are no longer revoked, so that call of the store's client goes.

--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/store/AsyncStore.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/store/AsyncStore.java
@@ -39,7 +39,4 @@
 
     /** Renews a lease for its time to live. */
     CompletableFuture<StoreLease> renewLease(long lease);
-
-    /** Revokes a lease and deletes the keys attached to it. */
-    CompletableFuture<Void> revokeLease(long lease);
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/HostLease.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/HostLease.java
@@ -10,6 +10,7 @@
 import java.util.function.Supplier;
 import org.toucanlane.coordination.store.AsyncStore;
 import org.toucanlane.coordination.store.AsyncStoreException;
+import org.toucanlane.coordination.store.KeyValueStore;
 import org.toucanlane.coordination.store.StoreTransaction;
 import org.toucanlane.edge.telemetry.DecisionLog;
 
@@ -33,6 +34,7 @@
     private final Supplier<List<StoreTransaction.Put>> furtherRecords;
     private long generation;
     private long lease;
+    private long recordRevision = KeyValueStore.ABSENT;
     private boolean ended;
 
     /**
@@ -80,6 +82,7 @@
                         return;
                     }
                     if (failure == null) {
+                        recordRevision = revision.number();
                         log.stateChange(
                                 "host_lease_opened",
                                 "lease",
@@ -131,10 +134,17 @@
         return cause instanceof AsyncStoreException known && known.reason() == AsyncStoreException.Reason.LEASE_EXPIRED;
     }
 
-    /** Deletes the record, so that other hosts remove this one immediately, and lets the lease expire. */
+    /**
+     * Deletes the record, so that other hosts remove this one immediately, and lets the lease expire. The deletion has
+     * no effect if it is executed only after a later process of this host has written its own record.
+     */
     public void end() {
         ended = true;
-        store.commit(StoreTransaction.delete(key)).whenComplete((done, failure) -> {
+        if (recordRevision == KeyValueStore.ABSENT) {
+            return;
+        }
+        StoreTransaction deletion = new StoreTransaction(Map.of(key, recordRevision), List.of(), List.of(key));
+        store.commit(deletion).whenComplete((done, failure) -> {
             if (failure != null) {
                 log.stateChange("host_record_not_deleted", "key", key, "reason", String.valueOf(failure.getMessage()));
             }
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/state/StoreMirrorTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/state/StoreMirrorTest.java
@@ -402,10 +402,5 @@
         public CompletableFuture<StoreLease> renewLease(long lease) {
             return enqueue();
         }
-
-        @Override
-        public CompletableFuture<Void> revokeLease(long lease) {
-            return enqueue();
-        }
     }
 }
