Reword four comments that a newcomer would stop at

Found on the last read: a status of a peer read like a term of the users' pages, a penalty's sentence could be read two ways, and two tests named sites. Comments only; compiler, formatter and linter of these modules pass, nothing else was run again.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
@@ -33,8 +33,8 @@
  *
  * <p>When the store begins a new era, having lost its last writes, the lease ends and all keys are read again. Values
  * that the restored store contains are reported, but keys that it lacks stay in the copy for the settling time of
- * {@link EraTracker}, since their writers may write them again. Until then reads do not renew the lease. Status reports
- * of an earlier era are ignored; those of a later one begin that era here too. Not thread-safe: confined to one event
+ * {@link EraTracker}, since their writers may write them again. Until then reads do not renew the lease. A peer's status
+ * from an earlier era is ignored; one from a later era begins that era here too. Not thread-safe: confined to one event
  * loop.
  */
 public final class StoreMirror {
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/EndpointPlacer.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/EndpointPlacer.java
@@ -35,7 +35,7 @@
     /** Milliseconds of latency that are accepted to keep long prompts and other streams apart. */
     private static final double MISPLACEMENT_PENALTY_MILLIS = 150;
 
-    /** Penalty that ranks an endpoint at which the request would be rejected after all others. */
+    /** Milliseconds added for an endpoint that would reject the request, which ranks it after all that would not. */
     private static final double REJECTION_PENALTY_MILLIS = 2_000;
 
     private EndpointPlacer() {}
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/placement/StreamPausesTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/placement/StreamPausesTest.java
@@ -14,14 +14,14 @@
         assertThat(pauses.severity()).isZero();
     }
 
-    /** Engines of the Instituto's kind: a full prefill holds up a stream for two thirds of the target. */
+    /** Engines on which a full prefill holds up a stream for at most two thirds of the target. */
     @Test
     void keepsNothingApartWhilePausesStayWellWithinTheirTarget() {
         record(300, 0.05, 0.65);
         assertThat(pauses.severity()).isLessThan(0.2);
     }
 
-    /** Engines of the festival's kind: a full prefill holds up a stream for about the whole target. */
+    /** Engines on which a full prefill holds up a stream for about the whole target. */
     @Test
     void keepsLongPromptsApartAfterFewStreamsWithLongPauses() {
         record(15, 0.6, 1.2);
