Find prompt segments on which endpoints crash, and hold requests with them

What callers saw: requests of one kind crash endpoints, one after the other.

Cause: a crash counts against the endpoint only. Nothing relates it to what the endpoint had just begun, so the request is sent to the next endpoint, and further requests with the same segment follow from all hosts. No host alone sees enough crashes to tell the segment from those beside it.

Change: SegmentQuarantine, a pure decision class, and CrashEvidence, which hosts exchange. This part has no callers yet. Crashes seen by all hosts are united in a bounded log. A segment is in quarantine after three crash events on two endpoints or more that it did not survive since. A crash that one segment explains is no evidence against others. Three points differ from a plain count: - Segments that never survived come first, before the number of events, and a segment that survived before needs eight events. With four, flapping endpoints on which most answers break put the most popular first segments into quarantine. - Among equals, the later position in the prompt is chosen, since fewer requests share it. - The time sent for a survival is fixed until a later one clears another crash. Otherwise hosts that exchange it would add the network delay in each round.

--- /dev/null
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/quarantine/FleetQuarantineTest.java
@@ -0,0 +1,185 @@
+package org.toucanlane.policy.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.toucanlane.policy.quarantine.FleetSimulation.DEADLY;
+import static org.toucanlane.policy.quarantine.FleetSimulation.MILLI;
+import static org.toucanlane.policy.quarantine.FleetSimulation.SECOND;
+
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.toucanlane.policy.quarantine.FleetSimulation.Request;
+import org.toucanlane.policy.quarantine.FleetSimulation.Settings;
+
+class FleetQuarantineTest {
+
+    private static final int ENDPOINTS = 13;
+
+    private static Settings smallFleet(double deadlyShare, long seed) {
+        return new Settings(8, ENDPOINTS, 7, 30, deadlyShare, seed);
+    }
+
+    /** Requests with one segment crashed 13 endpoints one after the other. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void keepsTheDeadlySegmentFromTheEndpoints(long seed) {
+        FleetSimulation fleet = new FleetSimulation(smallFleet(0.05, seed));
+        fleet.run(26 * SECOND);
+        assertDeadlyRequestsEnd(fleet);
+        assertSoundRequestsGoOn(fleet);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void keepsTheDeadlySegmentFromALargeFleet(long seed) {
+        FleetSimulation fleet = new FleetSimulation(new Settings(350, 800, 8, 150, 0.05, seed));
+        fleet.run(11 * SECOND);
+        assertDeadlyRequestsEnd(fleet);
+        assertSoundRequestsGoOn(fleet);
+    }
+
+    /** Deadly and sound requests of a first segment are both rare, so that no sound one may end between crashes. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void tellsTheDeadlySegmentFromARareFirstSegment(long seed) {
+        FleetSimulation fleet = new FleetSimulation(new Settings(8, ENDPOINTS, 7, 2, 0.5, seed));
+        fleet.run(60 * SECOND);
+        assertDeadlyRequestsEnd(fleet);
+        assertSoundRequestsGoOn(fleet);
+    }
+
+    /** Clients go on to send deadly requests for ten minutes, in which hold times from 30 s on double four times. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void makesFewTrials(long seed) {
+        FleetSimulation fleet = new FleetSimulation(smallFleet(0.05, seed));
+        fleet.run(600 * SECOND);
+        assertThat(fleet.deadlySendsAfter(fleet.crashes.get(4) + 5 * SECOND)).isBetween(1L, 5L);
+        assertSoundRequestsGoOn(fleet);
+    }
+
+    /** All endpoints of a data centre lose power, three times. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void ignoresTheLossOfADataCentre(long seed) {
+        FleetSimulation fleet = new FleetSimulation(new Settings(8, ENDPOINTS, 7, 200, 0, seed));
+        IntStream.of(4, 9, 14)
+                .forEach(second -> IntStream.range(0, 7)
+                        .forEach(endpoint -> fleet.at(
+                                second * SECOND + endpoint * 35 * MILLI, () -> fleet.crash(endpoint, 3 * SECOND))));
+        fleet.run(20 * SECOND);
+        assertNothingIsHeld(fleet);
+    }
+
+    /** The endpoints of a service go down and come back by turns. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void ignoresFlappingEndpoints(long seed) {
+        FleetSimulation fleet = new FleetSimulation(new Settings(8, 4, 7, 60, 0, seed));
+        IntStream.range(4, 40).forEach(i -> fleet.at(i * 1_250 * MILLI, () -> fleet.crash(i % 4, 2 * SECOND)));
+        fleet.run(52 * SECOND);
+        assertNothingIsHeld(fleet);
+    }
+
+    /** The endpoints go down so soon after they come back that most answers break. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void holdsFewRequestsWhileMostAnswersBreak(long seed) {
+        FleetSimulation fleet = new FleetSimulation(new Settings(8, 4, 7, 60, 0, seed));
+        IntStream.range(4, 64).forEach(i -> fleet.at(i * 500 * MILLI, () -> fleet.crash(i % 4, 1_200 * MILLI)));
+        fleet.run(36 * SECOND);
+        assertThat(fleet.shareSent(request -> true)).isGreaterThanOrEqualTo(0.95);
+    }
+
+    /** An endpoint loses 40 in 100 answers, and a segment goes there first each time. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void ignoresAFaultyEndpoint(long seed) {
+        FleetSimulation fleet = new FleetSimulation(smallFleet(0, seed));
+        fleet.sendSegmentsToTheSameEndpoint();
+        fleet.loseAnswers(5, 0.4);
+        fleet.run(40 * SECOND);
+        assertNothingIsHeld(fleet);
+    }
+
+    /** Five in 100 answers of all endpoints are lost for some seconds. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void ignoresLostAnswers(long seed) {
+        FleetSimulation fleet = new FleetSimulation(new Settings(8, ENDPOINTS, 7, 100, 0, seed));
+        fleet.at(4 * SECOND, () -> loseAnswers(fleet, 0.05));
+        fleet.at(12 * SECOND, () -> loseAnswers(fleet, 0));
+        fleet.run(25 * SECOND);
+        assertNothingIsHeld(fleet);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void ignoresSingleResets(long seed) {
+        FleetSimulation fleet = new FleetSimulation(new Settings(8, ENDPOINTS, 7, 60, 0, seed));
+        loseAnswers(fleet, 0.01);
+        fleet.run(60 * SECOND);
+        assertNothingIsHeld(fleet);
+    }
+
+    /** Answers are lost while a deadly segment comes, too. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void findsTheDeadlySegmentAmongLostAnswers(long seed) {
+        FleetSimulation fleet = new FleetSimulation(new Settings(8, ENDPOINTS, 7, 60, 0.02, seed));
+        loseAnswers(fleet, 0.05);
+        fleet.run(26 * SECOND);
+        assertDeadlyRequestsEnd(fleet);
+        assertSoundRequestsGoOn(fleet);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void tellsAHostThatStartsLater(long seed) {
+        FleetSimulation fleet = new FleetSimulation(smallFleet(0.05, seed));
+        fleet.run(20 * SECOND);
+        fleet.restart(3);
+        assertThat(fleet.hosts.get(3).quarantined(20 * SECOND)).isEmpty();
+        fleet.run(22 * SECOND);
+        assertThat(fleet.hosts.get(3).quarantined(22 * SECOND)).containsExactly(DEADLY);
+        fleet.run(26 * SECOND);
+        assertSoundRequestsGoOn(fleet);
+    }
+
+    private static void loseAnswers(FleetSimulation fleet, double probability) {
+        IntStream.range(0, ENDPOINTS).forEach(endpoint -> fleet.loseAnswers(endpoint, probability));
+    }
+
+    private static void assertDeadlyRequestsEnd(FleetSimulation fleet) {
+        assertThat(fleet.crashes).hasSizeGreaterThanOrEqualTo(3);
+        long fifth = fleet.crashes.get(Math.min(4, fleet.crashes.size() - 1));
+        assertThat(fleet.deadlySendsAfter(fifth + 5 * SECOND)).isLessThanOrEqualTo(3);
+        assertThat(fleet.hosts)
+                .allSatisfy(
+                        host -> assertThat(host.quarantined(fifth + 5 * SECOND)).contains(DEADLY));
+    }
+
+    private static void assertSoundRequestsGoOn(FleetSimulation fleet) {
+        Predicate<Request> sound = request -> !request.deadly();
+        long third = fleet.crashes.get(2);
+        assertThat(fleet.shareSent(sound)).isGreaterThanOrEqualTo(0.98);
+        fleet.requests.stream()
+                .filter(Request::deadly)
+                .map(request -> request.segments().get(0))
+                .distinct()
+                .filter(first -> fleet.requests.stream().anyMatch(sound.and(isAfter(first, third))))
+                .forEach(first -> assertThat(fleet.shareSent(sound.and(isAfter(first, third))))
+                        .as(first)
+                        .isGreaterThanOrEqualTo(0.5));
+    }
+
+    private static Predicate<Request> isAfter(String firstSegment, long time) {
+        return request -> request.time() > time && request.segments().get(0).equals(firstSegment);
+    }
+
+    private static void assertNothingIsHeld(FleetSimulation fleet) {
+        assertThat(fleet.everQuarantined).isEmpty();
+        assertThat(fleet.shareSent(request -> true)).isGreaterThanOrEqualTo(0.99);
+    }
+}
--- /dev/null
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/quarantine/SegmentQuarantineTest.java
@@ -0,0 +1,392 @@
+package org.toucanlane.policy.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.toucanlane.policy.quarantine.CrashEvidence.Clearance;
+import org.toucanlane.policy.quarantine.CrashEvidence.Crash;
+
+class SegmentQuarantineTest {
+
+    private static final long MILLI = 1_000_000L;
+    private static final long SECOND = 1_000 * MILLI;
+    private static final long START = 100 * SECOND;
+    private static final List<String> DEADLY = List.of("first", "deadly");
+    private static final Duration MIN_HOLD = Duration.ofSeconds(30);
+
+    private final SegmentQuarantine quarantine = new SegmentQuarantine("host-1");
+
+    @Test
+    void holdsASegmentAfterThreeCrashes() {
+        crash(2);
+        assertThat(quarantine.holdTime(DEADLY, START + 3 * SECOND)).isEmpty();
+        crash(3);
+        assertThat(quarantine.quarantined(START + 3 * SECOND)).containsExactly("deadly");
+        assertThat(quarantine.holdTime(DEADLY, START + 3 * SECOND)).isPresent();
+        assertThat(quarantine.holdTime(List.of("first", "other"), START + 3 * SECOND))
+                .isEmpty();
+    }
+
+    @Test
+    void needsCrashesOfSeveralEndpoints() {
+        IntStream.range(0, 6).forEach(i -> quarantine.recordCrash(1, List.of(DEADLY), START + 5 * i * SECOND));
+        assertThat(quarantine.quarantined(START + 30 * SECOND)).isEmpty();
+    }
+
+    @Test
+    void countsCrashesAtOneMomentAsOneEvent() {
+        IntStream.range(0, 10).forEach(i -> quarantine.recordCrash(i, List.of(DEADLY), START + i * 30 * MILLI));
+        quarantine.recordCrash(10, List.of(DEADLY), START + SECOND);
+        assertThat(quarantine.quarantined(START + 2 * SECOND)).isEmpty();
+        quarantine.recordCrash(11, List.of(DEADLY), START + 2 * SECOND);
+        assertThat(quarantine.quarantined(START + 2 * SECOND)).containsExactly("deadly");
+    }
+
+    @Test
+    void unitesReportsOfOneCrash() {
+        IntStream.range(0, 4).forEach(i -> {
+            quarantine.recordCrash(1, List.of(List.of("first", "own-" + i), DEADLY), START + i * 400 * MILLI);
+        });
+        quarantine.recordCrash(2, List.of(DEADLY), START + 2 * SECOND);
+        assertThat(quarantine.quarantined(START + 3 * SECOND)).isEmpty();
+    }
+
+    /** The first segment takes part in more crashes than the deadly one, since others break there, too. */
+    @Test
+    void sparesASharedSegmentThatSurvivedBefore() {
+        quarantine.recordSurvival(List.of("first"), START - SECOND);
+        quarantine.recordCrash(7, List.of(List.of("first", "other")), START);
+        crash(3);
+        crash(4);
+        assertThat(quarantine.quarantined(START + 5 * SECOND)).containsExactly("deadly");
+    }
+
+    @Test
+    void holdsTheFirstSegmentIfItIsTheDeadlyOne() {
+        IntStream.range(0, 3)
+                .forEach(
+                        i -> quarantine.recordCrash(i, List.of(List.of("deadly", "session-" + i)), START + i * SECOND));
+        assertThat(quarantine.quarantined(START + 3 * SECOND)).containsExactly("deadly");
+    }
+
+    @Test
+    void holdsTwoDeadlySegments() {
+        crash(3);
+        quarantine.recordSurvival(List.of("first"), START + 5 * SECOND);
+        IntStream.range(0, 3)
+                .forEach(i -> quarantine.recordCrash(
+                        i, List.of(List.of("first", "second-deadly")), START + (10 + i) * SECOND));
+        assertThat(quarantine.quarantined(START + 20 * SECOND)).containsExactly("deadly", "second-deadly");
+    }
+
+    @Test
+    void needsMoreEvidenceAgainstASegmentThatSurvivedBefore() {
+        quarantine.recordSurvival(List.of("deadly"), START - SECOND);
+        quarantine.recordSurvival(List.of("first"), START - SECOND);
+        crash(7);
+        assertThat(quarantine.quarantined(START + 7 * SECOND)).isEmpty();
+        crash(8);
+        assertThat(quarantine.quarantined(START + 8 * SECOND)).containsExactly("deadly");
+    }
+
+    @Test
+    void doesNotCountCrashesBeforeASurvival() {
+        crash(2);
+        quarantine.recordSurvival(DEADLY, START + 2 * SECOND);
+        quarantine.recordCrash(3, List.of(DEADLY), START + 3 * SECOND);
+        quarantine.recordCrash(4, List.of(DEADLY), START + 4 * SECOND);
+        assertThat(quarantine.quarantined(START + 5 * SECOND)).isEmpty();
+    }
+
+    @Test
+    void doublesTheHoldTimeWithEachEvent() {
+        Duration previous = Duration.ZERO;
+        for (int crashes = 3; crashes <= 12; crashes++) {
+            crash(crashes);
+            Duration hold =
+                    quarantine.holdTime(DEADLY, START + (crashes - 1) * SECOND).orElseThrow();
+            Duration least = min(MIN_HOLD.multipliedBy(1L << (crashes - 3)), Duration.ofMinutes(15));
+            assertThat(hold).isBetween(least, least.multipliedBy(2)).isGreaterThanOrEqualTo(previous);
+            previous = hold;
+        }
+    }
+
+    @Test
+    void returnsTheRemainingTime() {
+        crash(3);
+        Duration hold = quarantine.holdTime(DEADLY, START + 10 * SECOND).orElseThrow();
+        assertThat(quarantine.holdTime(DEADLY, START + 17 * SECOND)).hasValue(hold.minusSeconds(7));
+        long end = START + 10 * SECOND + hold.toNanos();
+        assertThat(quarantine.holdTime(DEADLY, end - 1)).hasValue(Duration.ofNanos(1));
+        assertThat(quarantine.holdTime(DEADLY, end)).isEmpty();
+    }
+
+    @Test
+    void spreadsTheTrialsOfHosts() {
+        Set<Duration> holds = new HashSet<>();
+        for (int host = 0; host < 8; host++) {
+            SegmentQuarantine other = new SegmentQuarantine("host-" + host);
+            IntStream.range(0, 3).forEach(i -> other.recordCrash(i, List.of(DEADLY), START + i * SECOND));
+            holds.add(other.holdTime(DEADLY, START + 2 * SECOND).orElseThrow());
+        }
+        assertThat(holds).hasSize(8).allSatisfy(hold -> assertThat(hold).isBetween(MIN_HOLD, MIN_HOLD.multipliedBy(2)));
+    }
+
+    @Test
+    void admitsOneTrialAndHoldsOthersUntilItsOutcome() {
+        crash(3);
+        long trial = endOfHold();
+        assertThat(quarantine.holdTime(DEADLY, trial)).isEmpty();
+        assertThat(quarantine.holdTime(DEADLY, trial)).hasValue(Duration.ofSeconds(10));
+        assertThat(quarantine.holdTime(DEADLY, trial + 4 * SECOND)).hasValue(Duration.ofSeconds(6));
+        assertThat(quarantine.holdTime(DEADLY, trial + 10 * SECOND)).isEmpty();
+        assertThat(quarantine.holdTime(DEADLY, trial + 11 * SECOND)).hasValue(Duration.ofSeconds(9));
+    }
+
+    @Test
+    void renewsTheQuarantineWhenATrialCrashes() {
+        crash(3);
+        long trial = endOfHold();
+        quarantine.holdTime(DEADLY, trial);
+        quarantine.recordCrash(9, List.of(DEADLY), trial + 90 * MILLI);
+        assertThat(quarantine.holdTime(DEADLY, trial + 90 * MILLI).orElseThrow())
+                .isBetween(MIN_HOLD.multipliedBy(2), MIN_HOLD.multipliedBy(4));
+    }
+
+    @Test
+    void liftsTheQuarantineOfAllHostsWhenATrialSurvives() {
+        crash(3);
+        SegmentQuarantine other = new SegmentQuarantine("host-2");
+        exchange(quarantine, other, START + 4 * SECOND, 1);
+        assertThat(other.quarantined(START + 4 * SECOND)).containsExactly("deadly");
+        long trial = endOfHold();
+        quarantine.holdTime(DEADLY, trial);
+        quarantine.recordSurvival(DEADLY, trial + SECOND);
+        assertThat(quarantine.holdTime(DEADLY, trial + SECOND)).isEmpty();
+        exchange(quarantine, other, trial + SECOND, 1);
+        assertThat(other.quarantined(trial + SECOND)).isEmpty();
+        assertThat(other.holdTime(DEADLY, trial + SECOND)).isEmpty();
+    }
+
+    @Test
+    void tellsAClearanceWhenOthersSuspectASegmentThatSurvived() {
+        quarantine.recordSurvival(List.of("first"), START);
+        assertThat(quarantine.nextEvidence(START).isEmpty()).isTrue();
+        CrashEvidence evidence =
+                new CrashEvidence(List.of(new Crash(1, Duration.ofSeconds(2), List.of(DEADLY))), List.of());
+        assertThat(quarantine.merge(evidence, START + SECOND)).isTrue();
+        assertThat(quarantine.nextEvidence(START + SECOND).clearances())
+                .containsExactly(new Clearance("first", Duration.ofSeconds(1)));
+    }
+
+    @Test
+    void repeatsNewEvidenceAndThenTellsNothingOfClearedSuspects() {
+        quarantine.recordCrash(1, List.of(DEADLY), START);
+        quarantine.recordSurvival(DEADLY, START + SECOND);
+        for (int round = 0; round < 6; round++) {
+            CrashEvidence evidence = quarantine.nextEvidence(START + 2 * SECOND);
+            assertThat(evidence.crashes()).containsExactly(new Crash(1, Duration.ofSeconds(2), List.of(DEADLY)));
+            assertThat(evidence.clearances()).hasSize(2);
+        }
+        assertThat(quarantine.nextEvidence(START + 2 * SECOND).isEmpty()).isTrue();
+    }
+
+    @Test
+    void tellsNothingIfItKnowsNothing() {
+        assertThat(quarantine.nextEvidence(START).isEmpty()).isTrue();
+        quarantine.recordCrash(1, List.of(), START);
+        quarantine.recordCrash(1, List.of(List.of()), START);
+        assertThat(quarantine.nextEvidence(START).isEmpty()).isTrue();
+    }
+
+    @Test
+    void forgetsCrashesAfterAnHour() {
+        crash(12);
+        long hour = 3_600 * SECOND;
+        assertThat(quarantine.quarantined(START + hour)).containsExactly("deadly");
+        assertThat(quarantine.quarantined(START + hour + 11 * SECOND)).isEmpty();
+        assertThat(quarantine.nextEvidence(START + hour + 12 * SECOND).isEmpty())
+                .isTrue();
+        CrashEvidence old =
+                new CrashEvidence(List.of(new Crash(1, Duration.ofSeconds(3_601), List.of(DEADLY))), List.of());
+        assertThat(quarantine.merge(old, START + 2 * hour)).isFalse();
+    }
+
+    @Test
+    void changesNothingWhenEvidenceComesBack() {
+        crash(4);
+        quarantine.recordSurvival(List.of("first"), START + 5 * SECOND);
+        SegmentQuarantine other = new SegmentQuarantine("host-2");
+        for (int round = 0; round < 30; round++) {
+            long now = START + 6 * SECOND + round * 100 * MILLI;
+            CrashEvidence evidence = quarantine.nextEvidence(now);
+            assertThat(other.merge(evidence, now + 40 * MILLI)).isEqualTo(round == 0);
+            assertThat(other.merge(evidence, now + 900 * MILLI)).isFalse();
+            assertThat(quarantine.merge(other.nextEvidence(now + 40 * MILLI), now + 80 * MILLI))
+                    .isFalse();
+        }
+    }
+
+    /** Two hosts that exchange an old survival for long would otherwise add the delay of the network in each round. */
+    @Test
+    void doesNotMoveASurvivalOnByExchangingIt() {
+        SegmentQuarantine other = new SegmentQuarantine("host-2");
+        quarantine.recordSurvival(List.of("deadly"), START);
+        quarantine.recordCrash(0, List.of(DEADLY), START - SECOND);
+        quarantine.recordCrash(1, List.of(DEADLY), START + SECOND);
+        for (int round = 0; round < 1_000; round++) {
+            long now = START + 2 * SECOND + round * 100 * MILLI;
+            other.merge(quarantine.nextEvidence(now), now + 50 * MILLI);
+            quarantine.merge(other.nextEvidence(now + 50 * MILLI), now + 100 * MILLI);
+        }
+        long later = START + 200 * SECOND;
+        IntStream.range(2, 9).forEach(i -> {
+            quarantine.recordCrash(i, List.of(DEADLY), later + i * SECOND);
+            other.recordCrash(i, List.of(DEADLY), later + i * SECOND);
+        });
+        quarantine.recordSurvival(List.of("first"), later + 10 * SECOND);
+        other.recordSurvival(List.of("first"), later + 10 * SECOND);
+        assertThat(quarantine.quarantined(later + 10 * SECOND)).containsExactly("deadly");
+        assertThat(other.quarantined(later + 10 * SECOND)).containsExactly("deadly");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void mergesInAnyOrder(long seed) {
+        Random random = new Random(seed);
+        List<CrashEvidence> evidence = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            Duration age = Duration.ofSeconds(2L * random.nextInt(40)).plusMillis(i % 7);
+            Crash crash = new Crash(
+                    random.nextInt(6),
+                    age,
+                    Stream.generate(() ->
+                                    List.of("a" + random.nextInt(3), "b" + random.nextInt(3), "c" + random.nextInt(9)))
+                            .limit(1 + random.nextInt(4))
+                            .toList());
+            Clearance clearance =
+                    new Clearance("abc".charAt(i % 3) + "" + random.nextInt(3), age.plusMillis(random.nextInt(2_000)));
+            evidence.add(new CrashEvidence(List.of(crash), random.nextInt(4) == 0 ? List.of(clearance) : List.of()));
+        }
+        assertThat(mergeAll(evidence).quarantined(START)).isNotEmpty();
+        List<CrashEvidence> shuffled = new ArrayList<>(evidence);
+        shuffled.addAll(evidence);
+        for (int i = 0; i < 20; i++) {
+            Collections.shuffle(shuffled, random);
+            SegmentQuarantine merged = mergeAll(shuffled);
+            assertThat(merged.quarantined(START)).isEqualTo(mergeAll(evidence).quarantined(START));
+            merged.quarantined(START)
+                    .forEach(segment -> assertThat(merged.holdTime(List.of(segment), START))
+                            .isEqualTo(mergeAll(evidence).holdTime(List.of(segment), START)));
+            assertThat(evidence).noneMatch(known -> merged.merge(known, START));
+        }
+    }
+
+    /** Crashes with many requests under way, by which the log and messages are bounded, must not hide the segment. */
+    @Test
+    void findsTheSegmentAmongManyLongSuspects() {
+        SegmentQuarantine other = new SegmentQuarantine("host-2");
+        for (int i = 0; i < 30; i++) {
+            long now = START + i * SECOND;
+            int crash = i;
+            List<List<String>> suspects = new ArrayList<>(IntStream.range(0, 11)
+                    .mapToObj(j -> IntStream.range(0, 12)
+                            .mapToObj(k -> "sound-" + crash + "-" + j + "-" + k)
+                            .toList())
+                    .toList());
+            suspects.add(
+                    Stream.concat(IntStream.range(0, 9).mapToObj(k -> "shared-" + crash + "-" + k), Stream.of("deadly"))
+                            .toList());
+            quarantine.recordCrash(i, suspects, now);
+            for (int round = 0; round < 10; round++) {
+                CrashEvidence evidence = quarantine.nextEvidence(now + round * 100 * MILLI);
+                assertThat(FleetSimulation.length(evidence)).isLessThanOrEqualTo(300);
+                assertThat(evidence.crashes())
+                        .allSatisfy(told -> assertThat(told.suspects())
+                                .hasSizeLessThanOrEqualTo(8)
+                                .allSatisfy(suspect -> assertThat(suspect).hasSizeLessThanOrEqualTo(8)));
+                other.merge(evidence, now + round * 100 * MILLI);
+            }
+        }
+        assertThat(quarantine.quarantined(START + 30 * SECOND)).containsExactly("deadly");
+        assertThat(other.quarantined(START + 30 * SECOND)).containsExactly("deadly");
+    }
+
+    /** Hundreds of lost answers must not push the crashes of a segment in quarantine out of the log. */
+    @Test
+    void keepsTheQuarantineWhenTheLogIsFull() {
+        crash(4);
+        for (int i = 0; i < 500; i++) {
+            quarantine.recordCrash(i % 9, List.of(List.of("first", "session-" + i)), START + (5 + 2 * i) * SECOND);
+            quarantine.recordSurvival(List.of("first"), START + (6 + 2 * i) * SECOND);
+        }
+        long now = START + 1_005 * SECOND;
+        assertThat(quarantine.quarantined(now)).containsExactly("deadly");
+        Set<Crash> told = new HashSet<>();
+        IntStream.range(0, 1_000)
+                .forEach(round -> told.addAll(quarantine.nextEvidence(now).crashes()));
+        assertThat(told.stream().mapToInt(crash -> crash.suspects().size()).sum())
+                .isLessThanOrEqualTo(64);
+    }
+
+    @Test
+    void tellsAHostThatStartsLaterWithinTwoSeconds() {
+        IntStream.range(0, 60)
+                .forEach(i -> quarantine.recordCrash(
+                        i % 9, List.of(List.of("first", "session-" + i), DEADLY), START + 2 * i * SECOND));
+        quarantine.recordSurvival(List.of("first"), START + 119 * SECOND);
+        long now = START + 150 * SECOND;
+        IntStream.range(0, 300).forEach(round -> quarantine.nextEvidence(now));
+        SegmentQuarantine late = new SegmentQuarantine("host-1");
+        exchange(quarantine, late, now, 20);
+        assertThat(late.quarantined(now)).containsExactly("deadly");
+        assertThat(late.holdTime(DEADLY, now)).isEqualTo(quarantine.holdTime(DEADLY, now));
+    }
+
+    @Test
+    void rejectsANegativeAge() {
+        assertThatThrownBy(() -> new Crash(1, Duration.ofSeconds(-1), List.of()))
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("PT-1S");
+        assertThatThrownBy(() -> new Clearance("first", Duration.ofSeconds(-1)))
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("PT-1S");
+    }
+
+    /** Records crashes up to the given number, one in each second. */
+    private void crash(int count) {
+        IntStream.range(0, count).forEach(i -> quarantine.recordCrash(i, List.of(DEADLY), START + i * SECOND));
+    }
+
+    private long endOfHold() {
+        return START
+                + 3 * SECOND
+                + quarantine.holdTime(DEADLY, START + 3 * SECOND).orElseThrow().toNanos();
+    }
+
+    private static void exchange(SegmentQuarantine from, SegmentQuarantine to, long now, int rounds) {
+        IntStream.range(0, rounds).forEach(round -> to.merge(from.nextEvidence(now), now));
+    }
+
+    private static SegmentQuarantine mergeAll(List<CrashEvidence> evidence) {
+        SegmentQuarantine merged = new SegmentQuarantine("host-1");
+        evidence.forEach(one -> merged.merge(one, START));
+        return merged;
+    }
+
+    private static Duration min(Duration a, Duration b) {
+        return a.compareTo(b) < 0 ? a : b;
+    }
+}
