Send evidence of crashes to all hosts beside the load reports

Cause: hosts don't tell each other on which prompt segments endpoints crashed. Each one sees one or two crashes, too few to tell the segment from those beside it, and the requests come at any host.

Change: each round a host sends what its SegmentQuarantine has to tell, along the routes of load reports: to the relays of its region, from there to its other hosts and to the relays of other regions. A relay passes on what it has merged, since its quarantine returns it too. The choice of receivers moves from Gossip to ReportRoutes, unchanged for load reports. Evidence goes in datagrams of its own, only while there is any: hosts of the previous version reject a load report with additional bytes and would lose all of them during a rolling restart; a datagram with another first byte they log and drop. They don't pass evidence on, so it isn't complete until both relays of each region have restarted. A crash is never split, so the receive buffer grows from 2,048 to 16,384 bytes, for load reports too. segment_quarantined and segment_released are logged once each, and a gauge counts the segments.

The bytes of a load report equal those that the previous version wrote for it.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/FleetReport.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/FleetReport.java
@@ -2,7 +2,6 @@
 
 import com.google.protobuf.CodedInputStream;
 import com.google.protobuf.CodedOutputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -32,9 +31,6 @@
     /** Fixed-point scale of the slowness on the wire. */
     private static final double SLOWNESS_SCALE = 100;
 
-    /** Upper bound for a decoded entry count; more entries than fit into the largest datagram. */
-    private static final int MAX_ENTRIES = 65_536;
-
     /** Copies the regions. */
     public FleetReport {
         regions = List.copyOf(regions);
@@ -63,12 +59,12 @@
 
     /** Encodes the report of a region, which is the same for all receivers of a round. */
     public static byte[] encode(RegionReport region) {
-        return encode(out -> write(out, region));
+        return ReportEncoding.encode(out -> write(out, region));
     }
 
     /** Encodes a report from its header and its encoded regions. */
     public static byte[] encode(Header header, List<byte[]> regions) {
-        return encode(out -> {
+        return ReportEncoding.encode(out -> {
             out.writeRawByte((byte) FORMAT_MARKER);
             out.writeFixed32NoTag(header.host());
             out.writeUInt64NoTag(header.incarnation());
@@ -87,18 +83,6 @@
         });
     }
 
-    private static byte[] encode(Writer writer) {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream(1_024);
-        try {
-            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
-            writer.write(out);
-            out.flush();
-        } catch (IOException e) {
-            throw new IllegalStateException("writing to a byte array failed", e);
-        }
-        return bytes.toByteArray();
-    }
-
     private static void write(CodedOutputStream out, RegionReport region) throws IOException {
         out.writeStringNoTag(region.region());
         out.writeUInt64NoTag(Math.max(0, region.ageMillis()));
@@ -155,12 +139,10 @@
                 new StoreStatus(new StoreRevision(in.readSInt64(), in.readUInt64()), in.readSInt64(), in.readSInt64()),
                 in.readUInt64());
         List<RegionReport> regions = new ArrayList<>();
-        for (int remaining = readCount(in); remaining > 0; remaining--) {
+        for (int remaining = ReportEncoding.readCount(in); remaining > 0; remaining--) {
             regions.add(readRegion(in));
         }
-        if (!in.isAtEnd()) {
-            throw new IOException("trailing bytes after the end of a report");
-        }
+        ReportEncoding.checkEnd(in);
         return new FleetReport(header, regions);
     }
 
@@ -169,19 +151,19 @@
         long ageMillis = in.readUInt64();
         boolean includesSummary = in.readBool();
         Set<Integer> hosts = new HashSet<>();
-        for (int remaining = readCount(in); remaining > 0; remaining--) {
+        for (int remaining = ReportEncoding.readCount(in); remaining > 0; remaining--) {
             hosts.add(in.readFixed32());
         }
         Map<Integer, EndpointUsage> endpoints = new HashMap<>();
-        for (int remaining = readCount(in); remaining > 0; remaining--) {
+        for (int remaining = ReportEncoding.readCount(in); remaining > 0; remaining--) {
             endpoints.put(in.readFixed32(), readUsage(in));
         }
         Map<String, AccountUsage> accountUsage = new HashMap<>();
-        for (int remaining = readCount(in); remaining > 0; remaining--) {
+        for (int remaining = ReportEncoding.readCount(in); remaining > 0; remaining--) {
             accountUsage.put(in.readString(), new AccountUsage(in.readUInt64(), in.readSInt64()));
         }
         Map<Integer, List<PromptSegment>> cachedSegments = new HashMap<>();
-        for (int remaining = readCount(in); remaining > 0; remaining--) {
+        for (int remaining = ReportEncoding.readCount(in); remaining > 0; remaining--) {
             cachedSegments.put(in.readFixed32(), readSegments(in));
         }
         return new RegionReport(region, ageMillis, includesSummary, hosts, endpoints, accountUsage, cachedSegments);
@@ -199,23 +181,9 @@
 
     private static List<PromptSegment> readSegments(CodedInputStream in) throws IOException {
         List<PromptSegment> segments = new ArrayList<>();
-        for (int remaining = readCount(in); remaining > 0; remaining--) {
+        for (int remaining = ReportEncoding.readCount(in); remaining > 0; remaining--) {
             segments.add(new PromptSegment(in.readString(), in.readUInt64()));
         }
         return segments;
     }
-
-    /** Reads and validates an entry count. */
-    private static int readCount(CodedInputStream in) throws IOException {
-        int count = in.readUInt32();
-        if (count < 0 || count > MAX_ENTRIES) {
-            throw new IOException("invalid entry count: " + count);
-        }
-        return count;
-    }
-
-    /** Writes to the encoder, which may throw. */
-    private interface Writer {
-        void write(CodedOutputStream out) throws IOException;
-    }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
@@ -6,7 +6,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -36,7 +38,7 @@
 import org.toucanlane.edge.limit.AccountUsage;
 import org.toucanlane.edge.state.StoreMirror;
 import org.toucanlane.edge.telemetry.DecisionLog;
-import org.toucanlane.policy.relay.RelaySelector;
+import org.toucanlane.policy.quarantine.SegmentQuarantine;
 
 /**
  * Exchanges load reports between hosts as datagrams. A lost report is superseded by the one of the next round.
@@ -44,7 +46,9 @@
  * <p>Each host reports its own load to the relays of its region. A relay sends the aggregate of its region, together
  * with the aggregates received from other regions, to the other hosts of its region, and sends its region's aggregate
  * to the relays of other regions. The traffic of a host is therefore independent of the number of hosts, except at
- * relays, where it grows with the size of their region. Not thread-safe: confined to the host's event loop.
+ * relays, where it grows with the size of their region. While there is evidence of crashes, it takes the same routes in
+ * datagrams of its own, which hosts of an earlier version reject without effect on load reports. Not thread-safe:
+ * confined to the host's event loop.
  */
 public final class Gossip implements AccountLimiter.ShareSource {
 
@@ -65,9 +69,6 @@
     /** Maximum number of endpoints in one part of a report; a part is never split further. */
     private static final int MAX_ENDPOINTS_PER_PART = 40;
 
-    /** Maximum number of relays that send aggregates; if there are more relays, all other hosts are relays too. */
-    private static final int MAX_AGGREGATORS = 2;
-
     /** Interval, in rounds, of reports to and about other regions; these matter less and use expensive links. */
     private static final int REMOTE_REGION_ROUNDS = 2;
 
@@ -79,24 +80,32 @@
     private final SentReports sent = new SentReports();
     private final ReceivedReports received;
     private final SegmentAnnouncements segmentAnnouncements = new SegmentAnnouncements();
+    private final CrashExchange crashes;
     private final Map<Integer, Integer> idleRounds = new HashMap<>();
     private final Set<String> silentHosts = new HashSet<>();
     private final Map<String, AccountShare> sharesByAccount = new HashMap<>();
     private AccountLimiter limiter;
     private Channel channel;
-    private List<String> relays = List.of();
-    private boolean isRelay;
+    private ReportRoutes routes;
     private long ticks;
     private long rounds;
 
     /** Creates an instance that sends nothing until {@link #start} is called. */
-    public Gossip(EventLoop loop, Fleet fleet, DecisionLog log, HostRecord self, StoreMirror mirror) {
+    public Gossip(
+            EventLoop loop,
+            Fleet fleet,
+            DecisionLog log,
+            HostRecord self,
+            StoreMirror mirror,
+            SegmentQuarantine quarantine) {
         this.loop = loop;
         this.fleet = fleet;
         this.log = log;
         this.self = self;
         this.mirror = mirror;
         this.received = new ReceivedReports(fleet, self.region(), self.name(), sent);
+        this.crashes = new CrashExchange(fleet, log, self, quarantine);
+        this.routes = new ReportRoutes(self, Map.of(), List.of());
     }
 
     /**
@@ -106,8 +115,13 @@
      */
     public void start(AccountLimiter accounts) throws IOException {
         limiter = accounts;
-        Bootstrap bootstrap =
-                new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new Receiver());
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel.class)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(CrashExchange.MAX_DATAGRAM_BYTES))
+                .handler(new Receiver());
         ChannelFuture bound = bootstrap
                 .bind(new InetSocketAddress(self.address(), self.gossipPort()))
                 .awaitUninterruptibly();
@@ -129,15 +143,13 @@
         rounds++;
         received.removeExpired(now);
         updateSilentHosts(now);
-        Map<String, List<HostHandle>> byRegion = fleet.hosts().stream()
-                .collect(Collectors.groupingBy(host -> host.entry().region()));
-        List<HostHandle> regionHosts = byRegion.getOrDefault(self.region(), List.of());
-        chooseRelays(regionHosts);
+        chooseRelays();
         Map<String, AccountUsage> ownUsage = limiter.usage();
-        sendOwnReport(regionHosts, ownUsage, now);
-        if (isRelay) {
-            sendAggregatedReport(regionHosts, byRegion, ownUsage, now);
+        sendOwnReport(ownUsage, now);
+        if (routes.isAggregator()) {
+            sendAggregatedReport(ownUsage, now);
         }
+        sendCrashReports(now);
         segmentAnnouncements.nextRound();
         idleRounds.keySet().removeIf(tag -> fleet.endpointByTag(tag).isEmpty());
     }
@@ -154,28 +166,25 @@
         });
     }
 
-    private void chooseRelays(List<HostHandle> regionHosts) {
-        List<String> chosen =
-                relayNames(Stream.concat(Stream.of(self), regionHosts.stream().map(HostHandle::entry)));
-        if (!chosen.equals(relays)) {
-            relays = chosen;
-            boolean now = chosen.contains(self.name());
-            if (now != isRelay) {
+    private void chooseRelays() {
+        ReportRoutes previous = routes;
+        routes = ReportRoutes.of(
+                self, fleet.hosts().stream().map(HostHandle::entry).toList());
+        if (!routes.relays().equals(previous.relays())) {
+            if (routes.isRelay() != previous.isRelay()) {
                 received.clearOwnRegion();
             }
-            isRelay = now;
-            mirror.setFollower(!chosen.get(0).equals(self.name()));
-            log.stateChange("relays_chosen", "region", self.region(), "relays", chosen, "self", isRelay);
+            mirror.setFollower(!routes.relays().get(0).equals(self.name()));
+            log.stateChange(
+                    "relays_chosen", "region", self.region(), "relays", routes.relays(), "self", routes.isRelay());
         }
     }
 
-    private void sendOwnReport(List<HostHandle> regionHosts, Map<String, AccountUsage> ownUsage, long now) {
-        Map<Integer, EndpointUsage> endpoints = endpointUsage(endpoint -> endpoint.localUsage(now), !isRelay);
+    private void sendOwnReport(Map<String, AccountUsage> ownUsage, long now) {
+        Map<Integer, EndpointUsage> endpoints = endpointUsage(endpoint -> endpoint.localUsage(now), !routes.isRelay());
         Map<String, AccountUsage> usage = topByDemand(ownUsage);
         sent.add(new SentReports.SentReport(rounds, now, endpoints, usage));
-        List<HostHandle> receivers = regionHosts.stream()
-                .filter(host -> relays.contains(host.entry().name()))
-                .toList();
+        List<HostRecord> receivers = routes.ownRelays();
         if (!receivers.isEmpty()) {
             RegionReport fullReport = new RegionReport(
                     self.region(),
@@ -193,16 +202,9 @@
      * Sends the aggregate of this region to its other hosts and to the relays of other regions, in turn with the other
      * relay.
      */
-    private void sendAggregatedReport(
-            List<HostHandle> regionHosts,
-            Map<String, List<HostHandle>> byRegion,
-            Map<String, AccountUsage> ownUsage,
-            long now) {
-        int turn = relays.indexOf(self.name());
-        int turns = Math.min(relays.size(), MAX_AGGREGATORS);
-        if (turn >= turns) {
-            return;
-        }
+    private void sendAggregatedReport(Map<String, AccountUsage> ownUsage, long now) {
+        int turn = routes.turn();
+        int turns = routes.turns();
         ReceivedReports.RegionView others = received.ownRegion(now);
         Set<Integer> hosts = new HashSet<>(others.hosts());
         hosts.add(HostHandle.tagOf(self.name()));
@@ -217,9 +219,7 @@
                 topByDemand(usage),
                 segmentAnnouncements.pending(this::isInOwnRegion));
         List<RegionReport> own = split(fullReport);
-        List<HostHandle> members = regionHosts.stream()
-                .filter(host -> !relays.contains(host.entry().name()))
-                .toList();
+        List<HostRecord> members = routes.members();
         if (!members.isEmpty() && rounds % turns == turn) {
             boolean withRemoteRegions = rounds / turns % REMOTE_REGION_ROUNDS == turn % REMOTE_REGION_ROUNDS;
             List<RegionReport> all = withRemoteRegions
@@ -229,24 +229,11 @@
             packDatagrams(all).forEach(regions -> send(regions, true, members));
         }
         if (rounds % (turns * REMOTE_REGION_ROUNDS) == (long) turn * REMOTE_REGION_ROUNDS) {
-            List<HostHandle> remoteRelays = byRegion.entrySet().stream()
-                    .filter(entry -> !entry.getKey().equals(self.region()))
-                    .flatMap(entry -> relaysOf(entry.getValue()))
-                    .toList();
+            List<HostRecord> remoteRelays = routes.remoteRelays();
             packDatagrams(own).forEach(regions -> send(regions, true, remoteRelays));
         }
     }
 
-    private static Stream<HostHandle> relaysOf(List<HostHandle> hosts) {
-        List<String> names = relayNames(hosts.stream().map(HostHandle::entry));
-        return hosts.stream().filter(host -> names.contains(host.entry().name()));
-    }
-
-    private static List<String> relayNames(Stream<HostRecord> hosts) {
-        return RelaySelector.select(hosts.map(host -> new RelaySelector.Candidate(host.name(), host.weight()))
-                .toList());
-    }
-
     private List<RegionReport> remoteRegionReports(long now) {
         return received.remoteRegions().entrySet().stream()
                 .flatMap(entry -> {
@@ -347,23 +334,35 @@
         return datagrams;
     }
 
-    private void send(List<byte[]> regions, boolean gathered, Collection<HostHandle> receivers) {
+    private void send(List<byte[]> regions, boolean gathered, Collection<HostRecord> receivers) {
         receivers.forEach(host -> {
             FleetReport.Header header = new FleetReport.Header(
                     HostHandle.tagOf(self.name()),
                     self.incarnation(),
                     rounds,
-                    received.latestRound(host.entry().name()),
+                    received.latestRound(host.name()),
                     gathered,
                     mirror.status(),
                     fleet.newestKnownConfiguration());
-            channel.write(new DatagramPacket(
-                    Unpooled.wrappedBuffer(FleetReport.encode(header, regions)),
-                    new InetSocketAddress(host.entry().address(), host.entry().gossipPort())));
+            write(FleetReport.encode(header, regions), host);
         });
         channel.flush();
     }
 
+    private void sendCrashReports(long now) {
+        crashes.logChanges(now);
+        List<byte[]> datagrams = crashes.nextDatagrams(now);
+        if (!datagrams.isEmpty()) {
+            routes.allReceivers().forEach(host -> datagrams.forEach(bytes -> write(bytes, host)));
+            channel.flush();
+        }
+    }
+
+    private void write(byte[] bytes, HostRecord host) {
+        channel.write(new DatagramPacket(
+                Unpooled.wrappedBuffer(bytes), new InetSocketAddress(host.address(), host.gossipPort())));
+    }
+
     /** Announces that {@code segments} were sent to {@code endpoint}, so that other hosts route equal prompts there. */
     public void announceCached(EndpointHandle endpoint, List<PromptSegment> segments) {
         segmentAnnouncements.addPrompt(endpoint.tag(), segments);
@@ -400,7 +399,7 @@
                 .forEach(part -> part.cachedSegments()
                         .forEach((tag, segments) -> fleet.endpointByTag(tag).ifPresent(endpoint -> {
                             endpoint.recordCached(segments);
-                            if (isRelay) {
+                            if (routes.isRelay()) {
                                 segmentAnnouncements.add(tag, segments);
                             }
                         })));
@@ -410,7 +409,7 @@
         boolean isOwnRegion = part.region().equals(self.region());
         if (!isOwnRegion) {
             received.receiveRemoteRegion(part, now);
-        } else if (sameRegion && !isRelay) {
+        } else if (sameRegion && !routes.isRelay()) {
             received.receiveAggregate(report, part, now);
         }
     }
@@ -418,7 +417,7 @@
     @Override
     public AccountShare shareOf(String account) {
         return sharesByAccount.computeIfAbsent(
-                account, name -> received.shareOf(name, limiter.demandOf(name), isRelay, System.nanoTime()));
+                account, name -> received.shareOf(name, limiter.demandOf(name), routes.isRelay(), System.nanoTime()));
     }
 
     /** Returns whether a report from {@code host}, or an aggregate that includes it, is recent enough. */
@@ -431,7 +430,7 @@
      * because no relay's aggregate is available.
      */
     public boolean isPresumedAlive(HostHandle host) {
-        return isAlive(host) || !isRelay && !received.hasAggregate();
+        return isAlive(host) || !routes.isRelay() && !received.hasAggregate();
     }
 
     private static boolean isAlive(HostHandle host, long now) {
@@ -443,8 +442,13 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            byte[] bytes = ByteBufUtil.getBytes(packet.content());
             try {
-                receive(FleetReport.decode(ByteBufUtil.getBytes(packet.content())));
+                if (CrashReport.isCrashReport(bytes)) {
+                    crashes.receive(CrashReport.decode(bytes), System.nanoTime());
+                } else {
+                    receive(FleetReport.decode(bytes));
+                }
             } catch (IOException e) {
                 log.stateChange(
                         "report_unreadable", "sender", packet.sender(), "reason", String.valueOf(e.getMessage()));
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -28,6 +28,7 @@
 import org.toucanlane.edge.state.StoreMirror;
 import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
+import org.toucanlane.policy.quarantine.SegmentQuarantine;
 
 /**
  * A host of the gateway, which serves callers on a single event loop.
@@ -86,6 +87,7 @@
     private final FreshnessLease freshness;
     private final StoreMirror mirror;
     private final HostLease lease;
+    private final SegmentQuarantine quarantine;
     private final Gossip gossip;
     private final AccountLimiter limiter;
     private final CallService calls;
@@ -132,7 +134,8 @@
                         .map(missing -> new StoreTransaction.Put(documents.eraKey(), missing.encode(), 0))
                         .stream()
                         .toList());
-        this.gossip = new Gossip(loop, fleet, log, settings.self(), mirror);
+        this.quarantine = new SegmentQuarantine(name);
+        this.gossip = new Gossip(loop, fleet, log, settings.self(), mirror, quarantine);
         this.limiter = new AccountLimiter(System::nanoTime, gossip);
         int maxSavedRetries = Math.max(1, (int) (settings.extraRetries() * RETRY_BUDGET_FRACTION / RETRY_BUDGET_HOSTS));
         this.calls = CallService.create(
@@ -258,6 +261,10 @@
                     .filter(endpoint -> endpoint.isUsable(now))
                     .count();
         });
+        metrics.registerGauge(
+                "toucanlane.segments.quarantined",
+                "prompt segments that are kept from endpoints because endpoints crashed on them",
+                () -> quarantine.quarantined(System.nanoTime()).size());
         metrics.registerGauge(
                 "toucanlane.connections.busy",
                 "connections of callers and hosts with a request",
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/FleetReportTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/FleetReportTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -36,6 +37,27 @@
         assertThat(FleetReport.decode(bytes())).isEqualTo(REPORT);
     }
 
+    /** Hosts of this and the previous version exchange reports during a rolling restart. */
+    @Test
+    void keepsTheFormatOfThePreviousVersion() throws Exception {
+        RegionReport region = REPORT.regions().get(0);
+        FleetReport report = new FleetReport(
+                REPORT.header(),
+                List.of(new RegionReport(
+                        region.region(),
+                        region.ageMillis(),
+                        region.includesSummary(),
+                        Set.of(-2),
+                        region.endpoints(),
+                        region.accountUsage(),
+                        region.cachedSegments())));
+        byte[] bytes = HexFormat.of()
+                .parseHex("72fbffffff80d095ffbc310907010421f00101110105736f757468280101feffffff01f7ffffff01020300"
+                        + "7d04010461636d650cf70a01f7ffffff01046d2f6162f467");
+        assertThat(bytes(report)).isEqualTo(bytes);
+        assertThat(FleetReport.decode(bytes)).isEqualTo(report);
+    }
+
     @Test
     void rejectsInvalidBytes() {
         for (String text : List.of("", "x", "[]", "{}", "{\"host\":1}", "qqqqqqqqqqqqqqqqqqqqqqqqqqqqqqqq")) {
@@ -69,8 +91,12 @@
     }
 
     private static byte[] bytes() {
+        return bytes(REPORT);
+    }
+
+    private static byte[] bytes(FleetReport report) {
         return FleetReport.encode(
-                REPORT.header(),
-                REPORT.regions().stream().map(FleetReport::encode).toList());
+                report.header(),
+                report.regions().stream().map(FleetReport::encode).toList());
     }
 }
