Check that a port found for tests is free for datagrams too

Seen once: HostExitTest.deliversTheEndOfAResponseToASlowCallerBeforeItStops failed in its set-up with "cannot bind UDP port 23666" while tests of other clones ran on the machine. FreePortFinder tried only TCP; hosts take one of the ports for datagrams. That another process held the port isn't proved. The check is one more bind; a port may still be taken between the check and its use.

--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/FreePortFinder.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/FreePortFinder.java
@@ -1,11 +1,12 @@
 package org.toucanlane.standins.fleet;
 
 import java.io.IOException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 
 /**
- * Finds unused loopback ports below the range from which the system takes the ephemeral ports of outgoing connections.
+ * Finds loopback ports, unused by streams and by datagrams, below the range from which the system takes the ephemeral ports of outgoing connections.
  * Thread-safe.
  */
 public final class FreePortFinder {
@@ -34,8 +35,9 @@
     }
 
     private static boolean isFree(int port) {
-        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-            return socket.isBound();
+        try (ServerSocket stream = new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
+                DatagramSocket datagram = new DatagramSocket(port, InetAddress.getLoopbackAddress())) {
+            return stream.isBound() && datagram.isBound();
         } catch (IOException e) {
             return false;
         }
