Close all connections in the task that finds a stopping host idle

Callers saw: a request on a connection that they kept, or on a new one, reached an endpoint and its connection ended without a byte, while its host exited.

Cause: EdgeHost.stop counted busy connections on the event loop and decided on another thread, from 2.5 s after the signal, while requests were accepted until 2.8 s. Between the count and the end of the process the loop went on to read requests and passed them on. Class of fault: check, then act, on two threads.

Evidence: RestartSoak stops three processes between callers that use their connections until the process is gone; the endpoint is sound. HostExitTest.passesNoRequestOnAfterItHasStopped needs no luck: the host still served a request after stop() had returned.

Ruled out: the directory (callers with open connections don't ask it); the drain's length (each lost request came after it).

Change: HostDrain checks and closes in one task of the event loop: listening sockets and connections of all servers, so also those for other hosts, the directory and readiness. host_stopped says how many connections were aborted.

Why it works: the loop that reads requests is the one that decides. A request that it has read keeps its connection busy; one that it has not is never passed on.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -6,9 +6,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import org.toucanlane.coordination.store.AsyncStore;
@@ -75,8 +78,6 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(50);
-
     private final HostSettings settings;
     private final EventLoop loop;
     private final MultiThreadIoEventLoopGroup group;
@@ -90,6 +91,7 @@
     private final AccountLimiter limiter;
     private final CallService calls;
     private final HostDirectory directory;
+    private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
     private HttpServer callerServer;
     private HttpServer peerServer;
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -167,10 +169,10 @@
     }
 
     private void startServing() throws IOException {
-        callerServer = HttpServer.bind(settings.callerAddress(), group, calls.callerHandler());
+        callerServer = listen(settings.callerAddress(), calls.callerHandler());
         InetSocketAddress peerAddress =
                 new InetSocketAddress(settings.self().address(), settings.self().hopPort());
-        peerServer = HttpServer.bind(peerAddress, group, calls.hostHandler());
+        peerServer = listen(peerAddress, calls.hostHandler());
         gossip.start(limiter);
         registerGauges();
         freshness.onClockJump(() -> {
@@ -217,7 +219,9 @@
      * @throws IOException if it can't be bound
      */
     public HttpServer listen(InetSocketAddress address, RequestHandler handler) throws IOException {
-        return HttpServer.bind(address, group, handler);
+        HttpServer server = HttpServer.bind(address, group, handler);
+        servers.add(server);
+        return server;
     }
 
     /**
@@ -277,35 +281,45 @@
     /**
      * Shuts down gracefully: the directory stops listing this host at once, running requests complete, and persistent
      * connections are closed with their next response. Blocks until no request is running or until shortly before the
-     * end of the grace period.
+     * end of the grace period; no request is read after that.
      */
     public void stop() {
         if (stopping.getAndSet(true)) {
             return;
         }
-        long start = System.nanoTime();
         log.stateChange("host_stopping", "host", settings.self().name());
+        HostDrain drain = new HostDrain(
+                loop, servers, MIN_DRAIN_TIME, settings.gracePeriod().minus(EXIT_MARGIN));
         loop.execute(() -> {
             directory.markDraining();
             lease.end();
             callerServer.startDraining();
             draining = true;
             loop.schedule(calls::refuseNewRequests, DRAIN_ACCEPT_TIME.toMillis(), TimeUnit.MILLISECONDS);
+            drain.start();
         });
-        long timeout = settings.gracePeriod().minus(EXIT_MARGIN).toNanos();
-        boolean drained = false;
-        while (!drained && System.nanoTime() - start < timeout) {
-            sleepUntilNextPoll();
-            drained = System.nanoTime() - start > MIN_DRAIN_TIME.toNanos() && busyConnections() == 0;
+        try {
+            HostDrain.Result result = drain.result().get(settings.gracePeriod().toMillis(), TimeUnit.MILLISECONDS);
+            log.stateChange(
+                    "host_stopped",
+                    "host",
+                    settings.self().name(),
+                    "drained",
+                    result.aborted() == 0,
+                    "after_ms",
+                    result.elapsed().toMillis(),
+                    "aborted",
+                    result.aborted());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            logFailedDrain(e);
+        } catch (ExecutionException | TimeoutException e) {
+            logFailedDrain(e);
         }
-        log.stateChange(
-                "host_stopped",
-                "host",
-                settings.self().name(),
-                "drained",
-                drained,
-                "after_ms",
-                (System.nanoTime() - start) / 1_000_000);
+    }
+
+    private void logFailedDrain(Exception cause) {
+        log.stateChange("host_not_drained", "host", settings.self().name(), "cause", String.valueOf(cause));
     }
 
     /** Shuts down immediately and aborts running requests. */
@@ -314,29 +328,6 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    private long busyConnections() {
-        CountDownLatch answered = new CountDownLatch(1);
-        long[] busy = {0};
-        loop.execute(() -> {
-            busy[0] = callerServer.busyConnections() + peerServer.busyConnections();
-            answered.countDown();
-        });
-        try {
-            answered.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        return busy[0];
-    }
-
-    private static void sleepUntilNextPoll() {
-        try {
-            Thread.sleep(DRAIN_POLL_INTERVAL.toMillis());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** Applies changes of the store to the fleet. */
     private final class MirrorListener implements StoreMirror.Listener {
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.toucanlane.domain.serving.CallerLimits;
 
@@ -50,6 +51,7 @@
     private final Set<ServerChannelHandler> connections = new HashSet<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
     private Channel channel;
+    private ScheduledFuture<?> expiryTimer;
     private boolean draining;
 
     private HttpServer(RequestHandler handler) {
@@ -94,7 +96,7 @@
             throw new IOException("failed to bind to " + address, bindFuture.cause());
         }
         server.channel = bindFuture.channel();
-        server.channel
+        server.expiryTimer = server.channel
                 .eventLoop()
                 .scheduleAtFixedRate(
                         server::closeExpiredConnections,
@@ -119,6 +121,13 @@
         draining = true;
     }
 
+    /** Stops listening and closes all connections at once. Reads nothing more. */
+    public void close() {
+        expiryTimer.cancel(false);
+        channel.close();
+        connections.stream().toList().forEach(ServerChannelHandler::close);
+    }
+
     /** Returns the number of connections with a request in progress. */
     public long busyConnections() {
         return connections.stream().filter(ServerChannelHandler::isBusy).count();
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -208,6 +208,10 @@
         return activeResponder != null || head != null;
     }
 
+    void close() {
+        context.close();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         server.onClosed(this);
