Count a connection as busy until its response has been sent

Callers saw: a long answer to a caller that reads slowly ended in the middle when its host stopped, although the log says request_served.

Cause: a connection counted as idle as soon as the last write of its response had been issued. Bytes that the socket had not taken yet were dropped with the process. Class of fault: an operation taken for done when it has been started.

Evidence: HostExitTest.deliversTheEndOfAResponseToASlowCallerBeforeItStops.

Ruled out: the bytes that the operating system has taken; it delivers them after the process has ended, if nothing unread has come on the connection.

Change: a connection is busy until the last write of its response has completed; this holds on all servers of a host. A caller that reads nothing is waited for until the grace period is nearly over.

Why it works: the drain ends when no connection is busy, and a write completes when the socket has taken its last byte. After: the test reads all 7,340,032 bytes.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -128,7 +128,7 @@
         connections.stream().toList().forEach(ServerChannelHandler::close);
     }
 
-    /** Returns the number of connections with a request in progress. */
+    /** Returns the number of connections with a request in progress or a response that has not been sent completely. */
     public long busyConnections() {
         return connections.stream().filter(ServerChannelHandler::isBusy).count();
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -45,6 +45,7 @@
     private HttpRequest head;
     private ByteBuf body;
     private ChannelResponder activeResponder;
+    private ChannelFuture lastResponseWrite;
     private boolean discardingInput;
     private long lastActivity = System.nanoTime();
 
@@ -166,7 +167,7 @@
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(rejection.status()), content);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        lastResponseWrite = context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
 
     private void releaseBody() {
@@ -205,7 +206,7 @@
     }
 
     boolean isBusy() {
-        return activeResponder != null || head != null;
+        return activeResponder != null || head != null || (lastResponseWrite != null && !lastResponseWrite.isDone());
     }
 
     void close() {
@@ -308,6 +309,7 @@
         }
 
         private void end(ChannelFuture writeFuture) {
+            lastResponseWrite = writeFuture;
             if (closeAfter) {
                 writeFuture.addListener(ChannelFutureListener.CLOSE);
             }
