Answer requests that still wait at the end of the grace period

Callers saw: a request that an endpoint had not answered when the grace period of its host was over got a closed connection and no answer.

Cause: stop() returned with requests in progress, and the end of the process cut them.

Ruled out: requests taken late; they are turned away from 2.8 s on.

Change: when its time is over, the drain asks each request in progress to end: 504 if it may have been run, 503 if it can't have been, and a response that has begun is broken off. Up to 300 ms are left for sending. host_stopped counts both.

Why it works: the answer is written by the loop that owns the connection, before the drain closes it, and the connection is busy until the answer has been sent.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -354,17 +354,29 @@
         if (finished) {
             return;
         }
+        end("request deadline expired", ErrorKind.DEADLINE_TOO_CLOSE);
+    }
+
+    @Override
+    public void onServerClosing() {
+        end("host shut down", ErrorKind.LEAVING);
+    }
+
+    /**
+     * Ends the request before its response is complete.
+     *
+     * @param reason start of the logged cause
+     * @param notSent the kind of failure if no attempt has been made
+     */
+    private void end(String reason, ErrorKind notSent) {
         boolean sent = currentAttempt != null || mayHaveRun;
         cancelCurrent();
         if (responseStarted) {
-            abortResponse("request deadline expired during the response");
+            abortResponse(reason + " during the response");
         } else if (sent) {
-            refuse(ErrorKind.TIMED_OUT, Duration.ZERO, "request deadline expired before the response");
+            refuse(ErrorKind.TIMED_OUT, Duration.ZERO, reason + " before the response");
         } else {
-            refuse(
-                    ErrorKind.DEADLINE_TOO_CLOSE,
-                    DEFAULT_RETRY_AFTER,
-                    "request deadline expired with no attempt in progress");
+            refuse(notSent, DEFAULT_RETRY_AFTER, reason + " with no attempt in progress");
         }
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -309,7 +309,9 @@
                     "after_ms",
                     result.elapsed().toMillis(),
                     "aborted",
-                    result.aborted());
+                    result.aborted(),
+                    "unsent",
+                    result.unsent());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             logFailedDrain(e);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostDrain.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostDrain.java
@@ -18,6 +18,9 @@
 
     private static final Duration POLL_INTERVAL = Duration.ofMillis(50);
 
+    /** Time for which the last responses may be sent after all requests have been ended. */
+    private static final Duration FLUSH_TIME = Duration.ofMillis(300);
+
     private final EventLoop loop;
     private final List<HttpServer> servers;
     private final Duration minTime;
@@ -25,12 +28,14 @@
     private final CompletableFuture<Result> result = new CompletableFuture<>();
     private long startNanos;
     private ScheduledFuture<?> timer;
+    private boolean requestsEnded;
+    private long aborted;
 
     /**
      * Creates a drain that has not started.
      *
      * @param minTime time for which the servers are kept open even if they are idle
-     * @param maxTime time after which the servers are closed even if requests are in progress
+     * @param maxTime time after which requests in progress are ended
      */
     HostDrain(EventLoop loop, List<HttpServer> servers, Duration minTime, Duration maxTime) {
         this.loop = loop;
@@ -49,10 +54,14 @@
         Duration elapsed = Duration.ofNanos(System.nanoTime() - startNanos);
         long busy = servers.stream().mapToLong(HttpServer::busyConnections).sum();
         boolean idle = busy == 0 && elapsed.compareTo(minTime) >= 0;
-        if (idle || elapsed.compareTo(maxTime) >= 0) {
+        if (idle || elapsed.compareTo(maxTime.plus(FLUSH_TIME)) >= 0) {
             timer.cancel(false);
             servers.forEach(HttpServer::close);
-            result.complete(new Result(busy, elapsed));
+            result.complete(new Result(aborted, busy, elapsed));
+        } else if (!requestsEnded && elapsed.compareTo(maxTime) >= 0) {
+            requestsEnded = true;
+            aborted = busy;
+            servers.forEach(HttpServer::endRequests);
         }
     }
 
@@ -64,8 +73,9 @@
     /**
      * The outcome of a drain.
      *
-     * @param aborted number of connections that were closed with a request in progress or a response not sent completely
+     * @param aborted number of connections whose requests were ended because the time was over
+     * @param unsent number of connections that were closed before their response had been sent completely
      * @param elapsed time from the start of the drain to its end
      */
-    record Result(long aborted, Duration elapsed) {}
+    record Result(long aborted, long unsent, Duration elapsed) {}
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -121,6 +121,11 @@
         draining = true;
     }
 
+    /** Ends all requests in progress, each with the response that its handler has for it now. */
+    public void endRequests() {
+        connections.stream().toList().forEach(ServerChannelHandler::endRequest);
+    }
+
     /** Stops listening and closes all connections at once. Reads nothing more. */
     public void close() {
         expiryTimer.cancel(false);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/Responder.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/Responder.java
@@ -42,6 +42,9 @@
         /** Called when the caller has closed the connection. */
         void onCallerDisconnected();
 
+        /** Called when the server is about to close: the listener ends the response at once. */
+        void onServerClosing();
+
         /** Called when the write buffer becomes writable or stops being writable. */
         void onWritabilityChanged(boolean writable);
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -209,6 +209,13 @@
         return activeResponder != null || head != null || (lastResponseWrite != null && !lastResponseWrite.isDone());
     }
 
+    /** Ends the request in progress with the response that its handler has for it now. */
+    void endRequest() {
+        if (activeResponder != null && activeResponder.listener != null) {
+            activeResponder.listener.onServerClosing();
+        }
+    }
+
     void close() {
         context.close();
     }
