Abandon a silent attempt only if another upstream can take the request

Callers saw: a stream was broken off, or an idempotent request got 502, although its endpoint was still at work on it and would have answered.

Cause: an attempt without progress was abandoned if its route allowed another endpoint, before it was known whether one could take the request. If none could, the call had nothing left and ended the response. An endpoint is silent also when it is just busy, so this hit sound endpoints. Class of fault: giving something up before its replacement is certain.

Change: the router says whether a destination other than those tried can take the request now; only then is the attempt abandoned. No attempt is abandoned when too little time is left for another one.

Why it works: the choice is repeated in the same task of the event loop, with the same state. What remains: the second endpoint may still refuse the request after the first was abandoned.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -329,8 +329,8 @@
     }
 
     /**
-     * Abandons the current attempt and sends the request to another upstream if no data has arrived for too long and a
-     * retry is allowed.
+     * Abandons the current attempt and sends the request to another upstream if no data has arrived for too long, a retry
+     * is allowed and another upstream can take it now. Otherwise the attempt goes on, since its upstream may still respond.
      */
     void abandonIfStalled(long now) {
         if (currentAttempt == null) {
@@ -345,7 +345,9 @@
                 || !inbound.responder().isWritable();
         if (!mayWait
                 && remaining > 0
-                && context.retryBudgets().forService(admitted.service()).isAvailable()) {
+                && RetryPolicy.isWorthwhile(timeLeft())
+                && context.retryBudgets().forService(admitted.service()).isAvailable()
+                && context.router().hasDestination(admitted, triedUpstreams)) {
             currentAttempt.abandonStalled();
         }
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -80,14 +80,7 @@
      */
     Destination choose(AdmittedCall call, Set<String> tried) throws CallRefusedException {
         long now = System.nanoTime();
-        List<PlacementCandidate> candidates = new ArrayList<>(localCandidates(call, tried, now));
-        Optional<Placement> choice = place(call, candidates);
-        boolean fastEnough = choice.isPresent() && choice.get().costMillis() <= REMOTE_DISTANCE_MILLIS;
-        if (call.forwardedBy().isEmpty() && !fastEnough) {
-            candidates.addAll(remoteCandidates(call, tried, now));
-            choice = place(call, candidates);
-        }
-        Optional<Destination> destination = choice.flatMap(placement -> destination(placement, tried));
+        Optional<Destination> destination = findBest(call, tried, now);
         if (destination.isEmpty()) {
             throw noDestination(call, now);
         }
@@ -98,6 +91,28 @@
         return destination.get();
     }
 
+    /**
+     * Returns whether a destination other than {@code tried} can take the request now.
+     *
+     * @param tried endpoints and hosts to which the request has been sent
+     */
+    boolean hasDestination(AdmittedCall call, Set<String> tried) {
+        return findBest(call, tried, System.nanoTime())
+                .filter(best -> overloadWait(call, best).isEmpty())
+                .isPresent();
+    }
+
+    private Optional<Destination> findBest(AdmittedCall call, Set<String> tried, long now) {
+        List<PlacementCandidate> candidates = new ArrayList<>(localCandidates(call, tried, now));
+        Optional<Placement> choice = place(call, candidates);
+        boolean fastEnough = choice.isPresent() && choice.get().costMillis() <= REMOTE_DISTANCE_MILLIS;
+        if (call.forwardedBy().isEmpty() && !fastEnough) {
+            candidates.addAll(remoteCandidates(call, tried, now));
+            choice = place(call, candidates);
+        }
+        return choice.flatMap(placement -> destination(placement, tried));
+    }
+
     private Optional<Placement> place(AdmittedCall call, List<PlacementCandidate> candidates) {
         Optional<Prompt> prompt = call.head().prompt();
         return EndpointPlacer.place(
@@ -122,21 +137,25 @@
     }
 
     private void refuseIfOverloaded(AdmittedCall call, Destination best) throws CallRefusedException {
-        double estimateMillis = best.estimateMillis();
-        Optional<Duration> wait = LoadShedder.shed(
-                best.waitMillis(),
-                estimateMillis - best.waitMillis(),
-                limitFor(call),
-                overloadTracker.overloadDuration(call.service(), System.nanoTime()));
+        Optional<Duration> wait = overloadWait(call, best);
         if (wait.isPresent()) {
             overloadTracker.recordRefusal(call.service(), System.nanoTime());
             throw new CallRefusedException(
                     ErrorKind.OVERLOADED,
                     wait.get(),
-                    "estimated time to the first response is " + Math.round(estimateMillis) + " ms");
+                    "estimated time to the first response is " + Math.round(best.estimateMillis()) + " ms");
         }
     }
 
+    /** Returns after what time the request may come back if {@code best} is too busy for it, or empty if it isn't. */
+    private Optional<Duration> overloadWait(AdmittedCall call, Destination best) {
+        return LoadShedder.shed(
+                best.waitMillis(),
+                best.estimateMillis() - best.waitMillis(),
+                limitFor(call),
+                overloadTracker.overloadDuration(call.service(), System.nanoTime()));
+    }
+
     private static AdmissionLimit limitFor(AdmittedCall call) {
         return new AdmissionLimit(call.routeBounds().minLatencyObjective(), call.rank());
     }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/retry/RetryPolicy.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/retry/RetryPolicy.java
@@ -22,7 +22,7 @@
 
     /** Returns whether to retry the request. Withdraws from the budget only if all other conditions hold. */
     public static boolean shouldRetry(Failure failure, RetryBudget budget) {
-        if (failure.timeLeft().compareTo(MIN_TIME_LEFT) < 0) {
+        if (!isWorthwhile(failure.timeLeft())) {
             return false;
         }
         return switch (failure.kind()) {
@@ -32,6 +32,11 @@
         };
     }
 
+    /** Returns whether a retry with {@code timeLeft} until the caller's deadline is worth sending. */
+    public static boolean isWorthwhile(Duration timeLeft) {
+        return timeLeft.compareTo(MIN_TIME_LEFT) >= 0;
+    }
+
     /**
      * A failed attempt.
      *
