--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -329,8 +329,8 @@
     }
 
     /**
-     * Abandons the current attempt and sends the request to another upstream if no data has arrived for too long and a
-     * retry is allowed.
+     * Abandons the current attempt and sends the request to another upstream if no data has arrived for too long, a retry
+     * is allowed and another upstream can take it now. Otherwise the attempt goes on, since its upstream may still respond.
      */
     void abandonIfStalled(long now) {
         if (currentAttempt == null) {
@@ -345,7 +345,9 @@
                 || !inbound.responder().isWritable();
         if (!mayWait
                 && remaining > 0
-                && context.retryBudgets().forService(admitted.service()).isAvailable()) {
+                && RetryPolicy.isWorthwhile(timeLeft())
+                && context.retryBudgets().forService(admitted.service()).isAvailable()
+                && context.router().hasDestination(admitted, triedUpstreams)) {
             currentAttempt.abandonStalled();
         }
     }
@@ -354,17 +356,29 @@
         if (finished) {
             return;
         }
+        end("request deadline expired", ErrorKind.DEADLINE_TOO_CLOSE);
+    }
+
+    @Override
+    public void onServerClosing() {
+        end("host shut down", ErrorKind.LEAVING);
+    }
+
+    /**
+     * Ends the request before its response is complete.
+     *
+     * @param reason start of the logged cause
+     * @param notSent the kind of failure if no attempt has been made
+     */
+    private void end(String reason, ErrorKind notSent) {
         boolean sent = currentAttempt != null || mayHaveRun;
         cancelCurrent();
         if (responseStarted) {
-            abortResponse("request deadline expired during the response");
+            abortResponse(reason + " during the response");
         } else if (sent) {
-            refuse(ErrorKind.TIMED_OUT, Duration.ZERO, "request deadline expired before the response");
+            refuse(ErrorKind.TIMED_OUT, Duration.ZERO, reason + " before the response");
         } else {
-            refuse(
-                    ErrorKind.DEADLINE_TOO_CLOSE,
-                    DEFAULT_RETRY_AFTER,
-                    "request deadline expired with no attempt in progress");
+            refuse(notSent, DEFAULT_RETRY_AFTER, reason + " with no attempt in progress");
         }
     }
 
