Hold back prompts on which endpoints crash

Requests of one kind crashed endpoints one after the other, with every other request that ran there.

Cause: a failed attempt was only counted against the endpoint's health. Nothing remembered which request had run there, so it was sent to a second endpoint, and the next request with the same segment to a third.

Ruled out: the retries alone. Without them each new request still crashes one endpoint, since no two are alike.

Change: Call asks SegmentQuarantine before each attempt. A prompt that is held back is refused as prompt_quarantined (503, not run, with the remaining time), also when another host says so; one that may have run ends without a further attempt. CrashDetector gathers the attempts at an endpoint whose connection was lost, and reports a crash unless a connection that was open before still is. Answers that went on or whose end was marked clear their segments. A stream without a length that ends within an event counts as a lost connection.

SegmentQuarantine is not part of this commit.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
@@ -3,12 +3,15 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.Optional;
 import org.toucanlane.domain.serving.CallKind;
 import org.toucanlane.edge.fleet.Reservation;
 import org.toucanlane.edge.http.ClientCall;
 import org.toucanlane.edge.http.ExchangeListener;
+import org.toucanlane.edge.http.MalformedResponseException;
 import org.toucanlane.policy.retry.RetryPolicy;
 
 /**
@@ -108,6 +111,9 @@
         }
         if (complete.isReadable()) {
             upstream.recordFirstResponse();
+            if (splitter.eventCount() > 0) {
+                upstream.recordAnswer();
+            }
             listener.onEvents(head, complete, splitter.lastId());
         }
         if (done) {
@@ -116,8 +122,12 @@
         if (!last) {
             buffers.update(this, splitter.partialEventBytes());
         } else if (splitter.partialEventBytes() > 0 || splitter.eventCount() == 0) {
+            if (!isSelfDelimited()) {
+                upstream.recordConnectionLost();
+            }
             failInvalidResponse(new IOException("event stream ended inside an event or without a new event id"));
         } else {
+            recordCompleteAnswer();
             finish(Reservation.Outcome.COMPLETE);
             listener.onStreamComplete();
         }
@@ -130,6 +140,9 @@
             failInvalidResponse(new IOException("response exceeds the limit of " + MAX_RESPONSE_BYTES + " bytes"));
             return;
         }
+        if (content.isReadable() && endpointResponse.isSuccess()) {
+            upstream.recordAnswer();
+        }
         // Copies the bytes, since a slice keeps the whole buffer of a socket read, however few bytes it holds.
         bufferedBody.writeBytes(content);
         content.release();
@@ -143,10 +156,7 @@
     private void handleCompleteResponse() {
         if (refusal.isPresent()) {
             finish(Reservation.Outcome.CANCELLED);
-            HopHeaders.HopRefusal hopRefusal = refusal.get();
-            listener.onAttemptFailed(
-                    hopRefusal.repeatKind(),
-                    "target host refused the request: " + hopRefusal.kind().code());
+            handleHopRefusal(refusal.get());
         } else if (endpointResponse.misdirected()) {
             upstream.markReplaced();
             finish(Reservation.Outcome.CANCELLED);
@@ -162,11 +172,35 @@
         } else {
             upstream.recordFirstResponse();
             boolean failed = endpointResponse.status() >= 500;
+            if (endpointResponse.isSuccess()) {
+                recordCompleteAnswer();
+            }
             finish(failed ? Reservation.Outcome.FAILED : Reservation.Outcome.COMPLETE);
             listener.onResponse(head, endpointResponse, bufferedBody.retain());
         }
     }
 
+    private void handleHopRefusal(HopHeaders.HopRefusal hopRefusal) {
+        String cause = "target host refused the request: " + hopRefusal.kind().code();
+        if (hopRefusal.appliesToAllHosts()) {
+            listener.onRefused(new CallRefusedException(
+                    hopRefusal.kind(), endpointResponse.retryAfter().orElse(Duration.ZERO), cause));
+        } else {
+            listener.onAttemptFailed(hopRefusal.repeatKind(), cause);
+        }
+    }
+
+    private void recordCompleteAnswer() {
+        // An answer that ends with its connection may have been cut off by a crash.
+        if (isSelfDelimited()) {
+            upstream.recordCompleteAnswer();
+        }
+    }
+
+    private boolean isSelfDelimited() {
+        return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+    }
+
     private void failInvalidResponse(Throwable cause) {
         finish(Reservation.Outcome.FAILED);
         call.cancel();
@@ -178,6 +212,10 @@
         if (done) {
             return;
         }
+        boolean connectionLost = cause instanceof IOException && !(cause instanceof MalformedResponseException);
+        if (stage != Stage.NOT_SENT && connectionLost) {
+            upstream.recordConnectionLost();
+        }
         finish(Reservation.Outcome.FAILED);
         listener.onAttemptFailed(
                 stage == Stage.NOT_SENT ? RetryPolicy.FailureKind.NOT_SENT : RetryPolicy.FailureKind.MAY_HAVE_RUN,
@@ -250,6 +288,9 @@
         /** Called with a complete response that isn't a stream. The listener releases {@code body}. */
         void onResponse(HttpResponse head, EndpointResponse endpointResponse, ByteBuf body);
 
+        /** Called when another host has refused the request for a reason that applies to all hosts. */
+        void onRefused(CallRefusedException refusal);
+
         /** Called when the attempt has failed. */
         void onAttemptFailed(RetryPolicy.FailureKind kind, String cause);
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -97,6 +97,7 @@
 
     private void sendToNextUpstream() {
         try {
+            refuseIfQuarantined();
             Destination destination = context.router().choose(admitted, triedUpstreams);
             estimateMillis = destination.estimateMillis();
             context.metrics().recordExpectedQueueTime(admitted.service(), destination.waitMillis());
@@ -109,13 +110,36 @@
                 send(remote);
             }
         } catch (CallRefusedException e) {
-            if (responseStarted) {
-                abortResponse(lastCause);
-            } else if (mayHaveRun) {
-                refuse(ErrorKind.ENDPOINT_FAILED, Duration.ZERO, lastCause);
-            } else {
-                refuse(e.kind(), e.retryAfter(), String.valueOf(e.getMessage()));
-            }
+            endWithoutAttempt(e);
+        }
+    }
+
+    private void refuseIfQuarantined() throws CallRefusedException {
+        List<String> segments = sharedSegments();
+        Optional<Duration> holdTime =
+                segments.isEmpty() ? Optional.empty() : context.quarantine().holdTime(segments, System.nanoTime());
+        if (holdTime.isPresent()) {
+            throw new CallRefusedException(
+                    ErrorKind.PROMPT_QUARANTINED,
+                    holdTime.get(),
+                    "held back for " + holdTime.get().toMillis()
+                            + " ms, since endpoints crashed on a segment of the prompt: "
+                            + String.join(", ", segments));
+        }
+    }
+
+    private List<String> sharedSegments() {
+        return admitted.head().prompt().map(Prompt::sharedIds).orElse(List.of());
+    }
+
+    /** Ends the request because it can't be sent to another upstream. */
+    private void endWithoutAttempt(CallRefusedException refusal) {
+        if (responseStarted) {
+            abortResponse(lastCause);
+        } else if (mayHaveRun) {
+            refuse(ErrorKind.ENDPOINT_FAILED, Duration.ZERO, lastCause);
+        } else {
+            refuse(refusal.kind(), refusal.retryAfter(), String.valueOf(refusal.getMessage()));
         }
     }
 
@@ -143,7 +167,10 @@
                         : OptionalInt.empty());
         HttpHeaders headers = context.dialect().endpointHeaders(inbound.head(), endpointRequest);
         triedUpstreams.add(endpoint.id());
-        startAttempt(new EndpointUpstream(endpoint, reservation), headers);
+        startAttempt(
+                new EndpointUpstream(
+                        endpoint, reservation, context.crashDetector().watch(endpoint, sharedSegments())),
+                headers);
     }
 
     private void send(Destination.Remote remote) {
@@ -285,6 +312,12 @@
         return status == 408 || status == 421 || status == 429 || status == 503;
     }
 
+    @Override
+    public void onRefused(CallRefusedException refusal) {
+        currentAttempt = null;
+        endWithoutAttempt(refusal);
+    }
+
     @Override
     public void onAttemptFailed(RetryPolicy.FailureKind kind, String cause) {
         lastCause = cause;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallContext.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallContext.java
@@ -11,6 +11,7 @@
 import org.toucanlane.edge.limit.AccountLimiter;
 import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
+import org.toucanlane.policy.quarantine.SegmentQuarantine;
 import org.toucanlane.policy.retry.RetryBudget;
 
 /**
@@ -22,6 +23,8 @@
  * @param limiter account limits
  * @param retryBudgets retry budgets by service
  * @param promptSentListener receives each endpoint and the prompt parts sent to it
+ * @param quarantine prompt segments that must not be sent to endpoints
+ * @param crashDetector detects crashes of endpoints
  * @param responseBuffers memory for incomplete responses
  * @param repeatableCalls requests in progress that may be sent again if they stall
  * @param log decision log
@@ -35,6 +38,8 @@
         AccountLimiter limiter,
         RetryBudgets retryBudgets,
         BiConsumer<EndpointHandle, List<PromptSegment>> promptSentListener,
+        SegmentQuarantine quarantine,
+        CrashDetector crashDetector,
         ResponseBuffers responseBuffers,
         Set<Call> repeatableCalls,
         DecisionLog log,
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -21,6 +21,7 @@
 import org.toucanlane.edge.state.FreshnessLease;
 import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
+import org.toucanlane.policy.quarantine.SegmentQuarantine;
 
 /** Serves requests from callers and requests forwarded by other hosts. Used on the host's event loop only. */
 public final class CallService {
@@ -64,6 +65,7 @@
                 location.region(),
                 state.responsive(),
                 RandomGenerator.of("L64X128MixRandom"));
+        SegmentQuarantine quarantine = state.quarantine();
         CallContext context = new CallContext(
                 loop,
                 dialect,
@@ -71,6 +73,13 @@
                 state.limiter(),
                 new CallContext.RetryBudgets(retryLimits.retriesPerRequest(), retryLimits.maxSavedRetries()),
                 promptSentListener,
+                quarantine,
+                new CrashDetector(
+                        loop,
+                        log,
+                        (endpoint, time) -> endpoint.pool().hasConnectionOpenedBefore(time),
+                        quarantine::recordCrash,
+                        quarantine::recordSurvival),
                 new ResponseBuffers(MAX_BUFFERED_RESPONSE_BYTES),
                 new LinkedHashSet<>(),
                 log,
@@ -151,10 +160,15 @@
      * @param fleet configuration, endpoints and hosts
      * @param freshness whether the configuration and the keys are recent enough to rely on
      * @param limiter account limits
+     * @param quarantine prompt segments that must not be sent to endpoints
      * @param responsive tests whether the reports of another host arrive on time
      */
     public record HostState(
-            Fleet fleet, FreshnessLease freshness, AccountLimiter limiter, Predicate<HostHandle> responsive) {}
+            Fleet fleet,
+            FreshnessLease freshness,
+            AccountLimiter limiter,
+            SegmentQuarantine quarantine,
+            Predicate<HostHandle> responsive) {}
 
     /**
      * Identity and region of this host.
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
@@ -13,10 +13,12 @@
 
     private final EndpointHandle endpoint;
     private final Reservation reservation;
+    private final CrashDetector.Watch watch;
 
-    EndpointUpstream(EndpointHandle endpoint, Reservation reservation) {
+    EndpointUpstream(EndpointHandle endpoint, Reservation reservation, CrashDetector.Watch watch) {
         this.endpoint = endpoint;
         this.reservation = reservation;
+        this.watch = watch;
     }
 
     @Override
@@ -39,6 +41,21 @@
         reservation.recordFirstResponse();
     }
 
+    @Override
+    public void recordAnswer() {
+        watch.recordAnswer(System.nanoTime());
+    }
+
+    @Override
+    public void recordCompleteAnswer() {
+        watch.recordCompleteAnswer(System.nanoTime());
+    }
+
+    @Override
+    public void recordConnectionLost() {
+        watch.recordConnectionLost(System.nanoTime());
+    }
+
     @Override
     public void release(Reservation.Outcome result) {
         reservation.end(result);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HopHeaders.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HopHeaders.java
@@ -86,6 +86,11 @@
      */
     record HopRefusal(ErrorKind kind, boolean reachedEndpoint) {
 
+        /** Returns whether other hosts would refuse the request as well. */
+        boolean appliesToAllHosts() {
+            return kind == ErrorKind.PROMPT_QUARANTINED;
+        }
+
         /** Returns how the refusal is classified when deciding on a retry. */
         RetryPolicy.FailureKind repeatKind() {
             if (kind.executionStatus() != ExecutionStatus.NOT_RUN) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
@@ -37,6 +37,21 @@
         // The other host tracks the load of its own endpoints.
     }
 
+    @Override
+    public void recordAnswer() {
+        // The other host watches its own endpoints for crashes.
+    }
+
+    @Override
+    public void recordCompleteAnswer() {
+        // The other host watches its own endpoints for crashes.
+    }
+
+    @Override
+    public void recordConnectionLost() {
+        // The other host watches its own endpoints for crashes.
+    }
+
     @Override
     public void release(Reservation.Outcome result) {
         // The other host releases the reservation on its endpoint.
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Prompt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Prompt.java
@@ -39,6 +39,14 @@
         return new PromptSize(promptTokens, shared, outputTokens);
     }
 
+    /** Returns the ids of the parts that may be shared with other requests: all but the last. */
+    public List<String> sharedIds() {
+        return parts.stream()
+                .limit(Math.max(0, parts.size() - 1))
+                .map(PromptSegment::id)
+                .toList();
+    }
+
     /** Returns a hash of the shared prefix, or 0 if there is none. */
     public long prefixHash() {
         return parts.size() < 2
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Upstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Upstream.java
@@ -22,6 +22,15 @@
     /** Records that the first part of the response has arrived. */
     void recordFirstResponse();
 
+    /** Records that a part of the answer itself has arrived: an event of a stream, or a part of another body. */
+    void recordAnswer();
+
+    /** Records that a successful answer is complete. */
+    void recordCompleteAnswer();
+
+    /** Records that the other side has closed or reset the connection before the answer was complete. */
+    void recordConnectionLost();
+
     /** Releases the reservation held for the attempt and records its result. */
     void release(Reservation.Outcome result);
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -28,6 +28,7 @@
 import org.toucanlane.edge.state.StoreMirror;
 import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
+import org.toucanlane.policy.quarantine.SegmentQuarantine;
 
 /**
  * A host of the gateway, which serves callers on a single event loop.
@@ -86,6 +87,7 @@
     private final FreshnessLease freshness;
     private final StoreMirror mirror;
     private final HostLease lease;
+    private final SegmentQuarantine quarantine;
     private final Gossip gossip;
     private final AccountLimiter limiter;
     private final CallService calls;
@@ -132,13 +134,14 @@
                         .map(missing -> new StoreTransaction.Put(documents.eraKey(), missing.encode(), 0))
                         .stream()
                         .toList());
+        this.quarantine = new SegmentQuarantine(name);
         this.gossip = new Gossip(loop, fleet, log, settings.self(), mirror);
         this.limiter = new AccountLimiter(System::nanoTime, gossip);
         int maxSavedRetries = Math.max(1, (int) (settings.extraRetries() * RETRY_BUDGET_FRACTION / RETRY_BUDGET_HOSTS));
         this.calls = CallService.create(
                 loop,
                 dialect,
-                new CallService.HostState(fleet, freshness, limiter, gossip::isAlive),
+                new CallService.HostState(fleet, freshness, limiter, quarantine, gossip::isAlive),
                 log,
                 metrics,
                 new CallService.Location(name, settings.self().region()),
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ChannelPool.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ChannelPool.java
@@ -94,6 +94,7 @@
                 request.release();
                 done.channel().close();
             } else if (done.isSuccess() && !closed) {
+                handler.markOpened(System.nanoTime());
                 open.add(handler);
                 handler.send(request, listener);
             } else {
@@ -119,6 +120,14 @@
         idle.remove(handler);
     }
 
+    /**
+     * Returns whether a connection that was established before {@code time} is known to be open still. A connection
+     * whose reading is paused isn't counted, since its end wouldn't be noticed.
+     */
+    public boolean hasConnectionOpenedBefore(long time) {
+        return open.stream().anyMatch(handler -> handler.isOpen() && handler.openedAt() - time < 0);
+    }
+
     /** Closes connections that have exceeded their idle time. */
     public void closeExpired() {
         long now = System.nanoTime();
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -5,6 +5,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -48,6 +50,7 @@
     private boolean hadMismatch;
     private int informationalCount;
     private int discardedBytes;
+    private long openedAt;
     private long usableUntil;
     private long idleNanos;
 
@@ -62,6 +65,21 @@
         context = added;
     }
 
+    /** Records when the connection was established. */
+    void markOpened(long now) {
+        openedAt = now;
+    }
+
+    /** Returns when the connection was established. */
+    long openedAt() {
+        return openedAt;
+    }
+
+    /** Returns whether the connection is open, as far as its end would be noticed. */
+    boolean isOpen() {
+        return context.channel().isActive() && context.channel().config().isAutoRead();
+    }
+
     /** Sends a request; {@code receiver} receives the response. */
     void send(FullHttpRequest request, ExchangeListener receiver) {
         listener = receiver;
@@ -87,8 +105,14 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
-            if (listener == null || ((HttpObject) message).decoderResult().isFailure()) {
-                fail(new IOException("received data without a pending request, or a malformed HTTP response"));
+            DecoderResult decoded = ((HttpObject) message).decoderResult();
+            if (decoded.cause() instanceof PrematureChannelClosureException) {
+                fail(new IOException("connection closed within the head of a response", decoded.cause()));
+                return;
+            }
+            if (listener == null || decoded.isFailure()) {
+                fail(new MalformedResponseException(
+                        "received data without a pending request, or a malformed HTTP response"));
                 return;
             }
             if (message instanceof HttpResponse response) {
@@ -106,7 +130,8 @@
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             informationalCount++;
             if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
-                fail(new IOException("more than " + MAX_INFORMATIONAL_RESPONSES + " informational responses"));
+                fail(new MalformedResponseException(
+                        "more than " + MAX_INFORMATIONAL_RESPONSES + " informational responses"));
             }
             return;
         }
@@ -138,7 +163,8 @@
             mismatched = !last;
             discardedBytes += content.content().readableBytes();
             if (discardedBytes > MAX_DISCARDED_BYTES) {
-                fail(new IOException("responses to other requests exceed " + MAX_DISCARDED_BYTES + " bytes"));
+                fail(new MalformedResponseException(
+                        "responses to other requests exceed " + MAX_DISCARDED_BYTES + " bytes"));
             }
             return;
         }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ExchangeListener.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ExchangeListener.java
@@ -28,7 +28,12 @@
      */
     void onData(ByteBuf content, boolean last);
 
-    /** Called when the request has failed. */
+    /**
+     * Called when the request has failed.
+     *
+     * @param cause a {@link MalformedResponseException} if the response was not valid; another {@link
+     *     java.io.IOException} if the connection was lost or could not be established
+     */
     void onFailed(Stage stage, Throwable cause);
 
     /** The stage that a request had reached when it failed. */
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/HopHeadersTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/HopHeadersTest.java
@@ -42,9 +42,20 @@
         assertThat(kindOf(ErrorKind.TIMED_OUT, false)).isEqualTo(RetryPolicy.FailureKind.MAY_HAVE_RUN);
     }
 
+    @Test
+    void onlyAQuarantineAppliesToAllHosts() {
+        assertThat(ErrorKind.values())
+                .filteredOn(kind -> refusal(kind, false).appliesToAllHosts())
+                .containsExactly(ErrorKind.PROMPT_QUARANTINED);
+    }
+
     private static RetryPolicy.FailureKind kindOf(ErrorKind kind, boolean sent) {
+        return refusal(kind, sent).repeatKind();
+    }
+
+    private static HopHeaders.HopRefusal refusal(ErrorKind kind, boolean sent) {
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
         HopHeaders.markRefusal(response.headers(), kind, sent);
-        return HopHeaders.readRefusal(response).orElseThrow().repeatKind();
+        return HopHeaders.readRefusal(response).orElseThrow();
     }
 }
