--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -143,7 +143,7 @@
         this.calls = CallService.create(
                 loop,
                 dialect,
-                new CallService.HostState(fleet, freshness, limiter, gossip::isAlive),
+                new CallService.HostState(fleet, freshness, limiter, quarantine, gossip::isAlive),
                 log,
                 metrics,
                 new CallService.Location(name, settings.self().region()),
