Skip events without an id in front of a skipped event

Callers saw: an event twice in a stream that was resumed, if the endpoint sent an event without an id (a comment such as ": resumed") and then, in the same read, events that the caller already had.

Cause: EventSplitter returns one slice from the first new event to the last. An event without an id counts as new, so the slice began there and held the skipped event behind it.

Evidence: skipsEventsThatFollowAnEventWithoutId fails on the code before (events 1 and 2 are returned again) and passes now.

Change: a skipped event also skips what came in front of it. Events are skipped only before the first new id, so no new event is lost.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EventSplitter.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EventSplitter.java
@@ -40,7 +40,10 @@
         int end = eventEnd(buffer, from);
         while (end > 0) {
             boolean isNew = accept(buffer, from, end);
-            if (isNew && firstNewStart < 0) {
+            if (!isNew) {
+                // Also skips events without an id in front of it, so that the returned slice has no skipped event.
+                firstNewStart = -1;
+            } else if (firstNewStart < 0) {
                 firstNewStart = from;
             }
             from = end;
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/EventSplitterTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/EventSplitterTest.java
@@ -41,6 +41,14 @@
                 .isEqualTo("id: 3\ndata: c\n\n");
     }
 
+    /** Regression test: an event without an id in front of it made a skipped event be returned again. */
+    @Test
+    void skipsEventsThatFollowAnEventWithoutId() throws Exception {
+        EventSplitter resumed = new EventSplitter(2);
+        assertThat(text(resumed.split(bytes(": resumed\n\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"))))
+                .isEqualTo("id: 3\ndata: c\n\n");
+    }
+
     @Test
     void rejectsRepeatedEventId() throws Exception {
         split("id: 5\ndata: a\n\n");
