Deliver what was sent before a response is aborted

Callers saw: if a stream was broken off while its caller read slowly, the last complete events that the host had received were missing.

Cause: abort() closed the connection at once, which discards what waits in its write buffer: up to the high water mark of 128 KiB and one read.

Change: the connection is closed after the pending data is written. A caller that doesn't read is disconnected by the idle timeout, as after a complete response.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/Responder.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/Responder.java
@@ -24,7 +24,7 @@
     /** Ends the response. */
     void finish();
 
-    /** Closes the connection, so that the caller detects an incomplete response. */
+    /** Closes the connection after the data sent so far, so that the caller detects an incomplete response. */
     void abort();
 
     /** Returns whether the write buffer accepts more data. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -314,7 +314,8 @@
         public void abort() {
             if (markEnded()) {
                 onResponseEnded(false);
-                context.close();
+                // Closes behind the data that is still waiting to be written.
+                context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             }
         }
 
