Accept streams that end after comments or blank lines

Callers saw: a stream whose last event was followed by a comment line or an extra blank line was resumed at another endpoint, or broken off where the route doesn't allow that, although it was complete. The endpoint was charged with a failure.

Cause: a stream counted as ended inside an event if any byte followed its last event. Comments and blank lines aren't events (WHATWG HTML, "Server- sent events").

Change: a stream is complete if only whole comments and blank lines follow its last event; they are delivered. A line that isn't ended still counts as cut off. EventSplitterTest checks this after each byte.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
@@ -115,9 +115,12 @@
         }
         if (!last) {
             buffers.update(this, splitter.partialEventBytes());
-        } else if (splitter.partialEventBytes() > 0 || splitter.eventCount() == 0) {
+        } else if (splitter.isInsideEvent() || splitter.eventCount() == 0) {
             failInvalidResponse(new IOException("event stream ended inside an event or without a new event id"));
         } else {
+            if (splitter.partialEventBytes() > 0) {
+                listener.onEvents(head, splitter.takeRemainder(), splitter.lastId());
+            }
             finish(Reservation.Outcome.COMPLETE);
             listener.onStreamComplete();
         }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EventSplitter.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EventSplitter.java
@@ -74,9 +74,7 @@
         int line = from;
         int end = bytes.indexOf(line, bytes.writerIndex(), (byte) '\n');
         while (end >= 0) {
-            int length = end - line;
-            boolean blank = length == 0 || length == 1 && bytes.getByte(line) == '\r';
-            if (blank && line > from) {
+            if (isBlank(bytes, line, end) && line > from) {
                 return end + 1;
             }
             line = end + 1;
@@ -85,6 +83,10 @@
         return -1;
     }
 
+    private static boolean isBlank(ByteBuf bytes, int line, int end) {
+        return end == line || end == line + 1 && bytes.getByte(line) == '\r';
+    }
+
     /** Records the id of an event and returns whether the caller does not have the event yet. */
     private boolean accept(ByteBuf bytes, int from, int end) throws MalformedStreamException {
         Optional<Long> id = parseId(bytes.toString(from, end - from, StandardCharsets.UTF_8));
@@ -122,6 +124,26 @@
         return remainder.readableBytes();
     }
 
+    /** Returns whether the bytes so far end inside an event or a line, rather than after comments or blank lines. */
+    boolean isInsideEvent() {
+        int line = remainder.readerIndex();
+        while (line < remainder.writerIndex()) {
+            int end = remainder.indexOf(line, remainder.writerIndex(), (byte) '\n');
+            if (end < 0 || !isBlank(remainder, line, end) && remainder.getByte(line) != ':') {
+                return true;
+            }
+            line = end + 1;
+        }
+        return false;
+    }
+
+    /** Removes and returns the bytes that follow the last complete event. The caller releases them. */
+    ByteBuf takeRemainder() {
+        ByteBuf taken = remainder;
+        remainder = Unpooled.EMPTY_BUFFER;
+        return taken;
+    }
+
     /** Returns the id of the last complete event, or the initial id if there was none. */
     long lastId() {
         return lastId;
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/EventSplitterTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/EventSplitterTest.java
@@ -6,6 +6,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class EventSplitterTest {
@@ -49,6 +52,31 @@
                 .isEqualTo("id: 3\ndata: c\n\n");
     }
 
+    @Test
+    void isInsideEventUnlessOnlyCommentsOrBlankLinesFollowTheLastEvent() throws Exception {
+        for (String lineEnd : List.of("\n", "\r\n")) {
+            String stream = "id: 1|data: a||: comment|||: comment|".replace("|", lineEnd);
+            List<Integer> ends = new ArrayList<>();
+            EventSplitter bytewise = new EventSplitter(-1);
+            for (int i = 0; i < stream.length(); i++) {
+                bytewise.split(bytes(stream.substring(i, i + 1))).release();
+                if (!bytewise.isInsideEvent()) {
+                    ends.add(i + 1);
+                }
+            }
+            assertThat(ends).containsExactlyElementsOf(lineEnds(stream, lineEnd));
+        }
+    }
+
+    /** Returns the indices after each line, from the blank line after the first event on. */
+    private static List<Integer> lineEnds(String stream, String lineEnd) {
+        int firstEventEnd = stream.indexOf(lineEnd + lineEnd) + 2 * lineEnd.length();
+        return IntStream.rangeClosed(firstEventEnd, stream.length())
+                .filter(end -> stream.startsWith(lineEnd, end - lineEnd.length()))
+                .boxed()
+                .toList();
+    }
+
     @Test
     void rejectsRepeatedEventId() throws Exception {
         split("id: 5\ndata: a\n\n");
