--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
@@ -121,12 +121,15 @@
         }
         if (!last) {
             buffers.update(this, splitter.partialEventBytes());
-        } else if (splitter.partialEventBytes() > 0 || splitter.eventCount() == 0) {
+        } else if (splitter.isInsideEvent() || splitter.eventCount() == 0) {
             if (!isSelfDelimited()) {
                 upstream.recordConnectionLost();
             }
             failInvalidResponse(new IOException("event stream ended inside an event or without a new event id"));
         } else {
+            if (splitter.partialEventBytes() > 0) {
+                listener.onEvents(head, splitter.takeRemainder(), splitter.lastId());
+            }
             recordCompleteAnswer();
             finish(Reservation.Outcome.COMPLETE);
             listener.onStreamComplete();
