--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/AdmittedCall.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/AdmittedCall.java
@@ -1,5 +1,6 @@
 package org.toucanlane.edge.call;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.toucanlane.domain.serving.RouteBounds;
@@ -39,6 +40,11 @@
         return regions.isEmpty() || regions.contains(region);
     }
 
+    /** Returns the ids of the prompt segments that other requests may share, in order. */
+    public List<String> sharedSegments() {
+        return head.prompt().map(Prompt::sharedIds).orElse(List.of());
+    }
+
     /** Returns the priority rank of the request within its service; 0 is the most urgent. */
     public int rank() {
         int priority = account.isPresent() && account.get().priority().isPresent()
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -97,7 +97,7 @@
 
     private void sendToNextUpstream() {
         try {
-            refuseIfQuarantined();
+            context.quarantineCheck().check(admitted);
             Destination destination = context.router().choose(admitted, triedUpstreams);
             estimateMillis = destination.estimateMillis();
             context.metrics().recordExpectedQueueTime(admitted.service(), destination.waitMillis());
@@ -114,24 +114,6 @@
         }
     }
 
-    private void refuseIfQuarantined() throws CallRefusedException {
-        List<String> segments = sharedSegments();
-        Optional<Duration> holdTime =
-                segments.isEmpty() ? Optional.empty() : context.quarantine().holdTime(segments, System.nanoTime());
-        if (holdTime.isPresent()) {
-            throw new CallRefusedException(
-                    ErrorKind.PROMPT_QUARANTINED,
-                    holdTime.get(),
-                    "held back for " + holdTime.get().toMillis()
-                            + " ms, since endpoints crashed on a segment of the prompt: "
-                            + String.join(", ", segments));
-        }
-    }
-
-    private List<String> sharedSegments() {
-        return admitted.head().prompt().map(Prompt::sharedIds).orElse(List.of());
-    }
-
     /** Ends the request because it can't be sent to another upstream. */
     private void endWithoutAttempt(CallRefusedException refusal) {
         if (responseStarted) {
@@ -169,7 +151,7 @@
         triedUpstreams.add(endpoint.id());
         startAttempt(
                 new EndpointUpstream(
-                        endpoint, reservation, context.crashDetector().watch(endpoint, sharedSegments())),
+                        endpoint, reservation, context.crashDetector().watch(endpoint, admitted.sharedSegments())),
                 headers);
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallContext.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallContext.java
@@ -11,7 +11,6 @@
 import org.toucanlane.edge.limit.AccountLimiter;
 import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
-import org.toucanlane.policy.quarantine.SegmentQuarantine;
 import org.toucanlane.policy.retry.RetryBudget;
 
 /**
@@ -23,7 +22,7 @@
  * @param limiter account limits
  * @param retryBudgets retry budgets by service
  * @param promptSentListener receives each endpoint and the prompt parts sent to it
- * @param quarantine prompt segments that must not be sent to endpoints
+ * @param quarantineCheck refuses prompts that are held back
  * @param crashDetector detects crashes of endpoints
  * @param responseBuffers memory for incomplete responses
  * @param repeatableCalls requests in progress that may be sent again if they stall
@@ -38,7 +37,7 @@
         AccountLimiter limiter,
         RetryBudgets retryBudgets,
         BiConsumer<EndpointHandle, List<PromptSegment>> promptSentListener,
-        SegmentQuarantine quarantine,
+        QuarantineCheck quarantineCheck,
         CrashDetector crashDetector,
         ResponseBuffers responseBuffers,
         Set<Call> repeatableCalls,
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -73,7 +73,7 @@
                 state.limiter(),
                 new CallContext.RetryBudgets(retryLimits.retriesPerRequest(), retryLimits.maxSavedRetries()),
                 promptSentListener,
-                quarantine,
+                new QuarantineCheck(quarantine),
                 new CrashDetector(
                         loop,
                         log,
