Name the suspects of a crash whose answer had begun first

Cause: up to 60 requests waited at an endpoint that crashed, and any of them was as likely to be told of as the one that was being answered. Test: CrashDetectorTest.namesSuspectsWhoseAnswerHadBegunFirst.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
@@ -123,7 +123,7 @@
             buffers.update(this, splitter.partialEventBytes());
         } else if (splitter.isInsideEvent() || splitter.eventCount() == 0) {
             if (!isSelfDelimited()) {
-                upstream.recordConnectionLost();
+                upstream.recordConnectionLost(true);
             }
             failInvalidResponse(new IOException("event stream ended inside an event or without a new event id"));
         } else {
@@ -217,7 +217,7 @@
         }
         boolean connectionLost = cause instanceof IOException && !(cause instanceof MalformedResponseException);
         if (stage != Stage.NOT_SENT && connectionLost) {
-            upstream.recordConnectionLost();
+            upstream.recordConnectionLost(stage == Stage.ANSWERING);
         }
         finish(Reservation.Outcome.FAILED);
         listener.onAttemptFailed(
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CrashDetector.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CrashDetector.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.toucanlane.edge.fleet.EndpointHandle;
 import org.toucanlane.edge.telemetry.DecisionLog;
 import org.toucanlane.policy.quarantine.SegmentQuarantine;
@@ -75,7 +76,7 @@
         if (connectionCheck.hasConnectionOpenedBefore(endpoint, broken.firstAt)) {
             return;
         }
-        List<List<String>> suspects = List.copyOf(broken.suspects);
+        List<List<String>> suspects = broken.suspects();
         log.stateChange(
                 "endpoint_crashed",
                 "endpoint",
@@ -95,12 +96,18 @@
     private static final class BrokenAttempts {
 
         private final long firstAt;
-        private final Set<List<String>> suspects = new LinkedHashSet<>();
+        private final Set<List<String>> answering = new LinkedHashSet<>();
+        private final Set<List<String>> waiting = new LinkedHashSet<>();
         private int count;
 
         private BrokenAttempts(long firstAt) {
             this.firstAt = firstAt;
         }
+
+        /** Returns the suspects, those whose answer had begun first. */
+        private List<List<String>> suspects() {
+            return Stream.of(answering, waiting).flatMap(Set::stream).distinct().toList();
+        }
     }
 
     /** Watches one attempt. Its methods take the time at which they are called. */
@@ -138,12 +145,16 @@
             survived = true;
         }
 
-        /** Records that the endpoint has closed or reset the connection before the answer was complete. */
-        void recordConnectionLost(long now) {
+        /**
+         * Records that the endpoint has closed or reset the connection before the answer was complete.
+         *
+         * @param answering whether the head of the answer had arrived
+         */
+        void recordConnectionLost(boolean answering, long now) {
             BrokenAttempts broken = gathering.computeIfAbsent(endpoint, key -> startGathering(key, now));
             broken.count++;
             if (!survived && !segments.isEmpty()) {
-                broken.suspects.add(segments);
+                (answering ? broken.answering : broken.waiting).add(segments);
             }
         }
     }
@@ -161,7 +172,8 @@
          * Called after a crash.
          *
          * @param endpoint tag of the endpoint
-         * @param suspects requests that may have caused it; of each one the ids of its shared segments
+         * @param suspects requests that may have caused it, the likeliest first; of each one the ids of its shared
+         *     segments
          * @param time time of the crash
          */
         void onCrash(int endpoint, List<List<String>> suspects, long time);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
@@ -52,8 +52,8 @@
     }
 
     @Override
-    public void recordConnectionLost() {
-        watch.recordConnectionLost(System.nanoTime());
+    public void recordConnectionLost(boolean answering) {
+        watch.recordConnectionLost(answering, System.nanoTime());
     }
 
     @Override
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
@@ -48,7 +48,7 @@
     }
 
     @Override
-    public void recordConnectionLost() {
+    public void recordConnectionLost(boolean answering) {
         // The other host watches its own endpoints for crashes.
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Upstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Upstream.java
@@ -28,8 +28,12 @@
     /** Records that a successful answer is complete. */
     void recordCompleteAnswer();
 
-    /** Records that the other side has closed or reset the connection before the answer was complete. */
-    void recordConnectionLost();
+    /**
+     * Records that the other side has closed or reset the connection before the answer was complete.
+     *
+     * @param answering whether the head of the answer had arrived
+     */
+    void recordConnectionLost(boolean answering);
 
     /** Releases the reservation held for the attempt and records its result. */
     void release(Reservation.Outcome result);
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/AttemptTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/AttemptTest.java
@@ -96,7 +96,7 @@
     void reportsConnectionsThatTheOtherSideClosedOrReset() {
         start(CallKind.STREAM).onFailed(ExchangeListener.Stage.SENT, new ClosedChannelException());
         start(CallKind.STREAM).onFailed(ExchangeListener.Stage.ANSWERING, new SocketException("Connection reset"));
-        assertThat(events.upstreamEvents).containsExactly("lost", "lost");
+        assertThat(events.upstreamEvents).containsExactly("lost", "lost while answering");
     }
 
     @Test
@@ -115,7 +115,7 @@
         attempt.onHead(head(HttpResponseStatus.OK));
         attempt.onData(bytes(EVENT + "id: 2"), false);
         attempt.onData(Unpooled.EMPTY_BUFFER, true);
-        assertThat(events.upstreamEvents).containsExactly("answer", "lost");
+        assertThat(events.upstreamEvents).containsExactly("answer", "lost while answering");
     }
 
     /** A connection that stays open after an incomplete event says nothing about the endpoint's other connections. */
@@ -238,8 +238,8 @@
         }
 
         @Override
-        public void recordConnectionLost() {
-            upstreamEvents.add("lost");
+        public void recordConnectionLost(boolean answering) {
+            upstreamEvents.add(answering ? "lost while answering" : "lost");
         }
 
         @Override
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/CrashDetectorTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/CrashDetectorTest.java
@@ -76,9 +76,9 @@
         CrashDetector.Watch justBegun = detector.watch(endpoint, SECOND);
         CrashDetector.Watch sameSegments = detector.watch(endpoint, FIRST);
         answerFor(justBegun, SURVIVAL_NANOS - 1, START - SURVIVAL_NANOS);
-        unanswered.recordConnectionLost(START);
-        justBegun.recordConnectionLost(START);
-        sameSegments.recordConnectionLost(START + 1);
+        unanswered.recordConnectionLost(false, START);
+        justBegun.recordConnectionLost(false, START);
+        sameSegments.recordConnectionLost(false, START + 1);
         assertThat(crashes).isEmpty();
         gather();
         assertThat(crashes).containsExactly(new Crash(endpoint.tag(), List.of(FIRST, SECOND), START));
@@ -86,10 +86,20 @@
         assertThat(survivals).isEmpty();
     }
 
+    /** A crash with many waiting requests hid the request that caused it. */
+    @Test
+    void namesSuspectsWhoseAnswerHadBegunFirst() {
+        detector.watch(endpoint, FIRST).recordConnectionLost(false, START);
+        detector.watch(endpoint, SECOND).recordConnectionLost(true, START);
+        detector.watch(endpoint, FIRST).recordConnectionLost(false, START);
+        gather();
+        assertThat(crashes).containsExactly(new Crash(endpoint.tag(), List.of(SECOND, FIRST), START));
+    }
+
     @Test
     void ignoresAFailureOfOneConnectionAmongOthers() {
         connectionLeft = true;
-        detector.watch(endpoint, FIRST).recordConnectionLost(START);
+        detector.watch(endpoint, FIRST).recordConnectionLost(false, START);
         gather();
         assertThat(checkedTimes).containsExactly(START);
         assertThat(crashes).isEmpty();
@@ -99,8 +109,8 @@
     void doesNotSuspectAnswersThatWentOn() {
         CrashDetector.Watch begunBefore = detector.watch(endpoint, FIRST);
         answerFor(begunBefore, SURVIVAL_NANOS, START - SURVIVAL_NANOS);
-        begunBefore.recordConnectionLost(START);
-        detector.watch(endpoint, SECOND).recordConnectionLost(START);
+        begunBefore.recordConnectionLost(false, START);
+        detector.watch(endpoint, SECOND).recordConnectionLost(false, START);
         gather();
         assertThat(crashes).containsExactly(new Crash(endpoint.tag(), List.of(SECOND), START));
     }
@@ -109,8 +119,8 @@
     void doesNotReportACrashWithoutSuspects() {
         CrashDetector.Watch begunBefore = detector.watch(endpoint, FIRST);
         answerFor(begunBefore, SURVIVAL_NANOS, START - SURVIVAL_NANOS);
-        begunBefore.recordConnectionLost(START);
-        detector.watch(endpoint, List.of()).recordConnectionLost(START);
+        begunBefore.recordConnectionLost(false, START);
+        detector.watch(endpoint, List.of()).recordConnectionLost(false, START);
         gather();
         assertThat(checkedTimes).containsExactly(START);
         assertThat(crashes).isEmpty();
@@ -118,10 +128,10 @@
 
     @Test
     void keepsCrashesOfDifferentEndpointsAndTimesApart() {
-        detector.watch(endpoint, FIRST).recordConnectionLost(START);
-        detector.watch(other, SECOND).recordConnectionLost(START + 1);
+        detector.watch(endpoint, FIRST).recordConnectionLost(false, START);
+        detector.watch(other, SECOND).recordConnectionLost(false, START + 1);
         gather();
-        detector.watch(endpoint, SECOND).recordConnectionLost(START + 2);
+        detector.watch(endpoint, SECOND).recordConnectionLost(false, START + 2);
         gather();
         assertThat(crashes)
                 .containsExactlyInAnyOrder(
@@ -133,7 +143,7 @@
     /** After a stall of the loop, connections that were closed meanwhile must be read before the crash is judged. */
     @Test
     void runsTheLoopOnceMoreBeforeItJudgesAfterAStall() {
-        detector.watch(endpoint, FIRST).recordConnectionLost(START);
+        detector.watch(endpoint, FIRST).recordConnectionLost(false, START);
         channel.advanceTimeBy(10L * GATHERING_MILLIS, TimeUnit.MILLISECONDS);
         channel.runScheduledPendingTasks();
         assertThat(checkedTimes).isEmpty();
@@ -169,7 +179,7 @@
         watch.recordAnswer(START);
         watch.recordAnswer(START + 2 * SURVIVAL_NANOS);
         watch.recordAnswer(START + 2 * SURVIVAL_NANOS + 1);
-        watch.recordConnectionLost(START + 2 * SURVIVAL_NANOS + 2);
+        watch.recordConnectionLost(false, START + 2 * SURVIVAL_NANOS + 2);
         gather();
         assertThat(survivals).isEmpty();
         assertThat(crashes).containsExactly(new Crash(endpoint.tag(), List.of(FIRST), START + 2 * SURVIVAL_NANOS + 2));
