Quarantine the content of prompts regardless of the model

Cause: a part was identified with its model, as engines cache it, so each model had to crash endpoints anew. A part crashes them whatever else the request holds. Change: Prompt has the ids of the content beside those of the cached parts; crashes, survivals and the quarantine use the former.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/AdmittedCall.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/AdmittedCall.java
@@ -40,9 +40,9 @@
         return regions.isEmpty() || regions.contains(region);
     }
 
-    /** Returns the ids of the prompt segments that other requests may share, in order. */
+    /** Returns the ids of the prompt segments that other requests may share, of any model, in order. */
     public List<String> sharedSegments() {
-        return head.prompt().map(Prompt::sharedIds).orElse(List.of());
+        return head.prompt().map(Prompt::sharedContentIds).orElse(List.of());
     }
 
     /** Returns the priority rank of the request within its service; 0 is the most urgent. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Prompt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Prompt.java
@@ -11,9 +11,11 @@
  *
  * @param promptTokens number of prompt tokens
  * @param outputTokens maximum number of output tokens
- * @param parts prompt parts in order; all but the last may be shared with other requests
+ * @param parts prompt parts in order, each identified with the model that caches it; all but the last may be shared with
+ *     other requests
+ * @param contentIds ids of the content of these parts, equal for all models
  */
-public record Prompt(long promptTokens, long outputTokens, List<PromptSegment> parts) {
+public record Prompt(long promptTokens, long outputTokens, List<PromptSegment> parts, List<String> contentIds) {
 
     /** Validates the token counts and copies the parts. */
     public Prompt {
@@ -23,6 +25,9 @@
                 promptTokens,
                 outputTokens);
         parts = List.copyOf(parts);
+        contentIds = List.copyOf(contentIds);
+        Preconditions.checkArgument(
+                parts.size() == contentIds.size(), "parts and contentIds differ in size: %s, %s", parts, contentIds);
     }
 
     /** Returns the number of tokens charged against the account limit. */
@@ -39,12 +44,9 @@
         return new PromptSize(promptTokens, shared, outputTokens);
     }
 
-    /** Returns the ids of the parts that may be shared with other requests: all but the last. */
-    public List<String> sharedIds() {
-        return parts.stream()
-                .limit(Math.max(0, parts.size() - 1))
-                .map(PromptSegment::id)
-                .toList();
+    /** Returns the ids of the content that may be shared with other requests: that of all parts but the last. */
+    public List<String> sharedContentIds() {
+        return contentIds.subList(0, Math.max(0, contentIds.size() - 1));
     }
 
     /** Returns a hash of the shared prefix, or 0 if there is none. */
