Close all connections when a host is closed during a task

Callers saw: nothing in production, where the process exits. In one process, as in the tests, EdgeHost.close() sometimes left connections and listening ports open.

Cause: with a quiet period of zero Netty 4.2 ends an event loop at once if the shutdown is requested while the loop runs tasks, without the pass that closes its channels.

Change: a quiet period of 50 ms, so that the loop makes another pass.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -55,6 +55,11 @@
     /** Interval of the checks for clock jumps, idle connections and silent endpoints. */
     private static final Duration MAINTENANCE_INTERVAL = Duration.ofMillis(200);
 
+    /** With a quiet period of zero, Netty may end an event loop without closing its connections. */
+    private static final Duration SHUTDOWN_QUIET_PERIOD = Duration.ofMillis(50);
+
+    private static final Duration SHUTDOWN_TIMEOUT = Duration.ofSeconds(1);
+
     /** Fraction of the fleet-wide retry budget that hosts may use; the rest covers other kinds of retries. */
     private static final double RETRY_BUDGET_FRACTION = 0.75;
 
@@ -311,7 +316,8 @@
     /** Shuts down immediately and aborts running requests. */
     @Override
     public void close() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        group.shutdownGracefully(SHUTDOWN_QUIET_PERIOD.toMillis(), SHUTDOWN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .syncUninterruptibly();
     }
 
     private long busyConnections() {
