Find a crashing segment among many suspects

Cause: LoggedCrash kept 8 suspects of a crash by hash. With 17 + 20 + 11 suspects at three hosts the crashing segment was dropped at most crashes, and evidence at 300 bytes a round took several rounds to be told once.

Change: a host tells of at most 16 suspects of its own crash, those with a segment that isn't known to survive first. A crash keeps 48, by hash as before, since hosts must agree on them. New evidence may take 1,200 bytes a round, so that with its header it fits into a datagram of 1,300; retained evidence stays at 300. CrashLog counts the crashes of each segment as they change, and Attribution looks at no more than 128 segments that at least three crashes involve.

--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/Attribution.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/Attribution.java
@@ -1,8 +1,8 @@
 package org.toucanlane.policy.quarantine;
 
+import com.google.common.collect.Multiset;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -30,6 +30,9 @@
     /** Bounds the segments that are held back at a time. */
     static final int MAX_SEGMENTS = 8;
 
+    /** Bounds the time for an attribution, since requests wait for it. */
+    static final int MAX_CANDIDATES = 128;
+
     /** Time within which crashes of several endpoints count as one event, since they may have lost power together. */
     static final long EVENT_NANOS = 300_000_000L;
 
@@ -37,33 +40,53 @@
 
     /**
      * Attributes crashes to segments, the most likely segment first.
-     *
-     * @param crashes crashes in order of time
      */
-    static Map<String, Attribution> of(List<LoggedCrash> crashes, Survivals survivals) {
-        List<LoggedCrash> unexplained = new ArrayList<>(crashes);
+    static Map<String, Attribution> of(CrashLog log, Survivals survivals) {
+        List<LoggedCrash> unexplained = new ArrayList<>(log.crashes());
+        List<String> candidates = candidates(log, survivals);
         Map<String, Attribution> attributions = new LinkedHashMap<>();
         while (attributions.size() < MAX_SEGMENTS) {
-            Optional<Tally> likeliest = likeliest(unexplained, survivals);
+            List<Tally> tallies = candidates.stream()
+                    .map(segment -> tally(segment, unexplained, survivals))
+                    .filter(Tally::hasEnoughEvents)
+                    .toList();
+            Optional<Tally> likeliest =
+                    tallies.stream().filter(Tally::isSufficient).min(Tally.LIKELIEST_FIRST);
             if (likeliest.isEmpty()) {
                 break;
             }
             String segment = likeliest.get().segment;
             attributions.put(segment, likeliest.get().toAttribution());
+            // Without the explained crashes, no other segment gains events.
+            candidates = tallies.stream().map(tally -> tally.segment).toList();
             unexplained.removeIf(crash -> crash.involves(segment) && !survivals.clears(segment, crash));
         }
         return attributions;
     }
 
-    private static Optional<Tally> likeliest(List<LoggedCrash> crashes, Survivals survivals) {
-        Map<String, Tally> tallies = new HashMap<>();
-        crashes.forEach(crash -> crash.positions().forEach((segment, position) -> {
-            if (!survivals.clears(segment, crash)) {
-                boolean survived = survivals.ofSuspect(segment).isPresent();
-                tallies.computeIfAbsent(segment, id -> new Tally(id, survived)).add(crash, position);
-            }
-        }));
-        return tallies.values().stream().filter(Tally::isSufficient).min(Tally.LIKELIEST_FIRST);
+    /** Returns the segments that most crashes involve. */
+    private static List<String> candidates(CrashLog log, Survivals survivals) {
+        if (log.crashes().isEmpty()) {
+            return List.of();
+        }
+        LoggedCrash newest = log.crashes().get(log.crashes().size() - 1);
+        return log.segmentCounts().entrySet().stream()
+                .filter(entry -> entry.getCount() >= MIN_EVENTS && !survivals.clears(entry.getElement(), newest))
+                .sorted(Comparator.<Multiset.Entry<String>, Boolean>comparing(
+                                entry -> survivals.ofSuspect(entry.getElement()).isPresent())
+                        .thenComparing(entry -> -entry.getCount())
+                        .thenComparing(Multiset.Entry::getElement))
+                .limit(MAX_CANDIDATES)
+                .map(Multiset.Entry::getElement)
+                .toList();
+    }
+
+    private static Tally tally(String segment, List<LoggedCrash> crashes, Survivals survivals) {
+        Tally tally = new Tally(segment, survivals.ofSuspect(segment).isPresent());
+        crashes.stream()
+                .filter(crash -> crash.involves(segment) && !survivals.clears(segment, crash))
+                .forEach(crash -> tally.add(crash, crash.positions().get(segment)));
+        return tally;
     }
 
     /** Counts the crash events of one segment. */
@@ -102,7 +125,11 @@
         }
 
         boolean isSufficient() {
-            return excessEvents() >= 0 && endpoints.size() >= MIN_ENDPOINTS;
+            return hasEnoughEvents() && endpoints.size() >= MIN_ENDPOINTS;
+        }
+
+        boolean hasEnoughEvents() {
+            return excessEvents() >= 0;
         }
 
         private int excessEvents() {
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/CrashLog.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/CrashLog.java
@@ -1,9 +1,11 @@
 package org.toucanlane.policy.quarantine;
 
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
+import com.google.common.collect.Multisets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -25,6 +27,9 @@
 
     private final List<LoggedCrash> crashes = new ArrayList<>();
 
+    /** The segments of all suspects, each as often as there are crashes that involve it. */
+    private final Multiset<String> segments = HashMultiset.create();
+
     /** Returns the crashes in order of time. */
     List<LoggedCrash> crashes() {
         return Collections.unmodifiableList(crashes);
@@ -47,6 +52,14 @@
         });
     }
 
+    /** Adds suspects to a crash. Returns those that were not known and are kept. */
+    Set<List<String>> addSuspects(LoggedCrash crash, List<List<String>> suspects) {
+        Multisets.removeOccurrences(segments, crash.positions().keySet());
+        Set<List<String>> added = crash.addAll(suspects);
+        segments.addAll(crash.positions().keySet());
+        return added;
+    }
+
     /** Restores the order after a change of a crash's time. */
     void sort() {
         crashes.sort(BY_TIME);
@@ -54,7 +67,11 @@
 
     /** Removes expired crashes. Returns whether there were any. */
     boolean expire(long now) {
-        return crashes.removeIf(crash -> now - crash.time() > RETENTION_NANOS);
+        List<LoggedCrash> expired = crashes.stream()
+                .filter(crash -> now - crash.time() > RETENTION_NANOS)
+                .toList();
+        expired.forEach(this::remove);
+        return !expired.isEmpty();
     }
 
     /**
@@ -62,26 +79,34 @@
      */
     void trim(ToIntFunction<LoggedCrash> value) {
         while (crashes.size() > MAX_CRASHES) {
-            crashes.remove(
-                    Collections.min(crashes, Comparator.comparingInt(value).thenComparing(BY_TIME)));
+            remove(Collections.min(crashes, Comparator.comparingInt(value).thenComparing(BY_TIME)));
         }
     }
 
+    private void remove(LoggedCrash crash) {
+        crashes.remove(crash);
+        Multisets.removeOccurrences(segments, crash.positions().keySet());
+    }
+
     /** Returns whether any crash involves {@code segment}. */
     boolean involves(String segment) {
-        return crashes.stream().anyMatch(crash -> crash.involves(segment));
+        return segments.contains(segment);
     }
 
     /** Returns whether a crash later than {@code after}, but not later than {@code until}, involves {@code segment}. */
     boolean involvesWithin(String segment, long after, long until) {
-        return crashes.stream()
-                .anyMatch(crash -> crash.time() > after && crash.time() <= until && crash.involves(segment));
+        return involves(segment)
+                && crashes.stream()
+                        .anyMatch(crash -> crash.time() > after && crash.time() <= until && crash.involves(segment));
     }
 
     /** Returns the segments of all suspects. */
     Set<String> segments() {
-        Set<String> segments = new HashSet<>();
-        crashes.forEach(crash -> segments.addAll(crash.positions().keySet()));
-        return segments;
+        return Collections.unmodifiableSet(segments.elementSet());
+    }
+
+    /** Returns the segments of all suspects, each as often as there are crashes that involve it. */
+    Multiset<String> segmentCounts() {
+        return Multisets.unmodifiableMultiset(segments);
     }
 }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/EvidenceOutbox.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/EvidenceOutbox.java
@@ -16,8 +16,8 @@
 /**
  * Chooses which evidence a host sends in each round.
  *
- * <p>New evidence goes first, and is repeated in {@link #ROUNDS} rounds since datagrams get lost. What remains of a round
- * goes to retained evidence in turn, mostly to that on segments in quarantine. Retained evidence is accompanied by what
+ * <p>New evidence goes first, and is repeated in {@link #ROUNDS} rounds since datagrams get lost; each entry is sent once
+ * before any is repeated. What remains of a round, up to {@link #MAX_RETAINED_BYTES}, goes to retained evidence in turn, mostly to that on segments in quarantine. Retained evidence is accompanied by what
  * clears its segments, so that a host that starts later does not suspect them.
  *
  * <p>The time that is sent for a survival stays the same until a later one clears another crash. Otherwise each pass from
@@ -26,7 +26,8 @@
 final class EvidenceOutbox {
 
     static final int ROUNDS = 6;
-    static final int MAX_BYTES = 300;
+    static final int MAX_BYTES = 1_200;
+    static final int MAX_RETAINED_BYTES = 300;
 
     /** In every so many rounds, retained evidence on segments that are not in quarantine goes first. */
     private static final int OTHERS_FIRST_INTERVAL = 4;
@@ -181,7 +182,7 @@
             }
             cleared.removeIf(clearances::contains);
             length += length(cleared) + CLEARANCE_BYTES * cleared.size();
-            if (bytes > 0 && bytes + length > MAX_BYTES) {
+            if (bytes > 0 && bytes + length > (isNew ? MAX_BYTES : MAX_RETAINED_BYTES)) {
                 return false;
             }
             if (entry instanceof Entry.Suspect suspect) {
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/LoggedCrash.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/LoggedCrash.java
@@ -19,7 +19,7 @@
  */
 final class LoggedCrash {
 
-    static final int MAX_SUSPECTS = 8;
+    static final int MAX_SUSPECTS = 48;
     static final int MAX_SEGMENTS = 8;
 
     private final int endpoint;
@@ -79,14 +79,16 @@
         return added;
     }
 
+    /** Returns the order in which suspects are kept. */
+    Comparator<List<String>> preference() {
+        return Comparator.<List<String>>comparingLong(suspect -> weight(endpoint, String.join(" ", suspect)))
+                .thenComparing(List::toString);
+    }
+
     private void dropSurplus() {
         if (suspects.size() > MAX_SUSPECTS) {
-            Set<List<String>> kept = suspects.stream()
-                    .sorted(Comparator.<List<String>>comparingLong(
-                                    suspect -> weight(endpoint, String.join(" ", suspect)))
-                            .thenComparing(List::toString))
-                    .limit(MAX_SUSPECTS)
-                    .collect(Collectors.toSet());
+            Set<List<String>> kept =
+                    suspects.stream().sorted(preference()).limit(MAX_SUSPECTS).collect(Collectors.toSet());
             suspects.retainAll(kept);
         }
     }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/SegmentQuarantine.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/SegmentQuarantine.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +34,9 @@
     /** Time for which an answer must go on past its first event to show that its segments are sound. */
     public static final Duration SURVIVAL_TIME = Duration.ofMillis(500);
 
+    /** Bounds the suspects that a host tells of a crash that it has seen. */
+    private static final int MAX_OWN_SUSPECTS = 16;
+
     private static final long MIN_HOLD_NANOS = 30_000_000_000L;
     private static final long MAX_HOLD_NANOS = 900_000_000_000L;
     private static final int MAX_DOUBLINGS = 5;
@@ -60,7 +64,7 @@
      *     segments except the last
      */
     public void recordCrash(int endpoint, List<List<String>> suspects, long now) {
-        addCrash(endpoint, suspects, now, now);
+        addCrash(endpoint, suspects, now, now, MAX_OWN_SUSPECTS);
     }
 
     /** Records that an answer to a prompt with these segments is complete, or went on for {@link #SURVIVAL_TIME}. */
@@ -102,7 +106,7 @@
                 .count();
         changes += evidence.crashes().stream()
                 .filter(crash -> addCrash(
-                        crash.endpoint(), crash.suspects(), now - crash.age().toNanos(), now))
+                        crash.endpoint(), crash.suspects(), now - crash.age().toNanos(), now, Integer.MAX_VALUE))
                 .count();
         return changes > 0;
     }
@@ -123,7 +127,7 @@
     }
 
     /** Returns whether the crash or any of its suspects was not known and is kept. */
-    private boolean addCrash(int endpoint, List<List<String>> suspects, long time, long now) {
+    private boolean addCrash(int endpoint, List<List<String>> suspects, long time, long now, int maxSuspects) {
         if (now - time > CrashLog.RETENTION_NANOS || suspects.stream().allMatch(List::isEmpty)) {
             return false;
         }
@@ -133,7 +137,7 @@
             log.sort();
             attributionsStale = true;
         }
-        Set<List<String>> added = crash.addAll(suspects);
+        Set<List<String>> added = log.addSuspects(crash, likeliest(crash, suspects, maxSuspects));
         if (added.isEmpty()) {
             return false;
         }
@@ -145,6 +149,19 @@
         return log.contains(crash);
     }
 
+    /** Returns the suspects to keep: first those with a segment that is not known to survive. */
+    private List<List<String>> likeliest(LoggedCrash crash, List<List<String>> suspects, int max) {
+        return suspects.size() <= max
+                ? suspects
+                : suspects.stream()
+                        .distinct()
+                        .sorted(Comparator.<List<String>, Boolean>comparing(
+                                        suspect -> suspect.stream().noneMatch(survivals::isUnknown))
+                                .thenComparing(crash.preference()))
+                        .limit(max)
+                        .toList();
+    }
+
     /** Returns whether the survival is the first one of a suspect, or clears a suspect of another crash. */
     private boolean addSurvival(String segment, long time) {
         boolean suspect = log.involves(segment);
@@ -165,7 +182,7 @@
             attributionsStale = true;
         }
         if (attributionsStale) {
-            attributions = Attribution.of(log.crashes(), survivals);
+            attributions = Attribution.of(log, survivals);
             trialStarts.keySet().retainAll(attributions.keySet());
             attributionsStale = false;
         }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/Survivals.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/Survivals.java
@@ -54,6 +54,11 @@
         return last == null ? OptionalLong.empty() : OptionalLong.of(last);
     }
 
+    /** Returns whether no survival of a segment is known, whether it is a suspect or not. */
+    boolean isUnknown(String segment) {
+        return !recent.containsKey(segment) && !suspects.containsKey(segment);
+    }
+
     /** Returns whether a suspect survived at {@code crash} or later, and so cannot have caused it. */
     boolean clears(String segment, LoggedCrash crash) {
         Long last = suspects.get(segment);
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/quarantine/FleetQuarantineTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/quarantine/FleetQuarantineTest.java
@@ -39,6 +39,28 @@
         assertSoundRequestsGoOn(fleet);
     }
 
+    /** Each of three hosts has about 15 requests under way that begin at the endpoint that crashes. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void findsTheDeadlySegmentAmongManySuspects(long seed) {
+        FleetSimulation fleet = new FleetSimulation(new Settings(3, ENDPOINTS, 2, 3_900, 0.000_4, seed));
+        long time = 0;
+        while (fleet.crashEvents().size() < 5 && time < 15 * SECOND) {
+            time += 10 * MILLI;
+            fleet.run(time);
+        }
+        long later = time + SECOND;
+        fleet.run(later);
+        assertThat(fleet.suspects.subList(0, 3))
+                .as("suspects of the first crash")
+                .allMatch(count -> count >= 8 && count <= 24);
+        assertThat(fleet.hosts)
+                .allSatisfy(host -> assertThat(host.quarantined(later)).containsExactly(DEADLY));
+        fleet.run(26 * SECOND);
+        assertDeadlyRequestsEnd(fleet);
+        assertSoundRequestsGoOn(fleet);
+    }
+
     /** Deadly and sound requests of a first segment are both rare, so that no sound one may end between crashes. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
