End each request of a stopping host in a task of its own

Callers would have seen, when the grace period of a host was over: no last response, if one request failed to end. Cause: the drain ended all requests in one periodic task, which an exception stops for good, so that nothing was closed and the host was killed. Class: one failure ends the loop over all. Now each request is ended in a task of its own; an exception is logged by the event loop and keeps nothing else. Test: HostDrainTest.endsAllRequestsIfOneOfThemFails timed out before, passes now.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -123,7 +123,8 @@
 
     /** Ends all requests in progress, each with the response that its handler has for it now. */
     public void endRequests() {
-        connections.stream().toList().forEach(ServerChannelHandler::endRequest);
+        // Each in a task of its own, so that a failure of one doesn't keep the others from ending.
+        connections.forEach(connection -> channel.eventLoop().execute(connection::endRequest));
     }
 
     /** Stops listening and closes all connections at once. Reads nothing more. */
