Send retained crash evidence in few rounds

Cause: EvidenceOutbox filled each round with retained evidence for up to an hour, so each host sent a datagram to every receiver in every round.

Change: retained evidence on segments in quarantine becomes due in every tenth round and is sent once, in as many rounds as it takes; some of the other retained evidence is sent in every fortieth. All other rounds are empty. Retained evidence may now fill a message like new evidence.

Figures: with four crashes of a segment in quarantine and one other crash, 1,000 rounds sent 1,000 messages before and at most 150 after. Sixty crashes with segments of 65 bytes: 40 of 60 told in 20 rounds before, all 60 after.

Tests: sendsRetainedEvidenceInFewRounds and tellsAHostThatStartsLaterOfLongSegmentsWithinTwoSeconds failed on the former code. tellsAHostThatStartsLater and tellsAHostThatStartsLaterWithinTwoSeconds are unchanged.

--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/EvidenceOutbox.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/EvidenceOutbox.java
@@ -6,10 +6,13 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.toucanlane.policy.quarantine.CrashEvidence.Clearance;
 import org.toucanlane.policy.quarantine.CrashEvidence.Crash;
 
@@ -17,8 +20,9 @@
  * Chooses which evidence a host sends in each round.
  *
  * <p>New evidence goes first, and is repeated in {@link #ROUNDS} rounds since datagrams get lost; each entry is sent once
- * before any is repeated. What remains of a round, up to {@link #MAX_RETAINED_BYTES}, goes to retained evidence in turn, mostly to that on segments in quarantine. Retained evidence is accompanied by what
- * clears its segments, so that a host that starts later does not suspect them.
+ * before any is repeated. Retained evidence on segments in quarantine is sent once in {@link #RETAINED_INTERVAL} rounds,
+ * and some of the other, in turn, in every {@link #OTHERS_INTERVAL} rounds; all other rounds are empty. Retained evidence
+ * is accompanied by what clears its segments, so that a host that starts later does not suspect them.
  *
  * <p>The time that is sent for a survival stays the same until a later one clears another crash. Otherwise each pass from
  * host to host would add the network delay to it. Not thread-safe.
@@ -27,10 +31,8 @@
 
     static final int ROUNDS = 6;
     static final int MAX_BYTES = 1_200;
-    static final int MAX_RETAINED_BYTES = 300;
-
-    /** In every so many rounds, retained evidence on segments that are not in quarantine goes first. */
-    private static final int OTHERS_FIRST_INTERVAL = 4;
+    static final int RETAINED_INTERVAL = 10;
+    static final int OTHERS_INTERVAL = 40;
 
     private static final int CRASH_BYTES = 12;
     private static final int CLEARANCE_BYTES = 8;
@@ -41,6 +43,9 @@
     /** Number of rounds in which each entry was sent; the entry that was sent last comes last. */
     private final Map<Entry, Integer> roundsSent = new LinkedHashMap<>();
 
+    /** Retained evidence on segments in quarantine that is still to be sent in this interval. */
+    private final Set<Entry> due = new LinkedHashSet<>();
+
     private final Map<String, Long> survivalsSent = new HashMap<>();
     private long round;
 
@@ -68,21 +73,27 @@
     /** Removes entries on what is no longer in the log. */
     void retain(Set<String> segments) {
         roundsSent.keySet().removeIf(entry -> !entry.isRetained(log, segments));
+        due.retainAll(roundsSent.keySet());
         survivalsSent.keySet().retainAll(segments);
     }
 
     /** Returns what to send in the next round. */
     CrashEvidence next(long now, Set<String> quarantined) {
-        boolean othersFirst = round % OTHERS_FIRST_INTERVAL == OTHERS_FIRST_INTERVAL - 1;
-        Comparator<Entry> order = Comparator.comparingInt(entry -> {
-            int rounds = roundsSent.get(entry);
-            return rounds < ROUNDS ? rounds : entry.isAbout(quarantined) == othersFirst ? ROUNDS + 1 : ROUNDS;
-        });
-        Message message = new Message(now);
-        List<Entry> candidates = roundsSent.keySet().stream()
-                .filter(entry -> isNew(entry) || entry.isUseful(survivals))
-                .sorted(order)
+        Predicate<Entry> isRetained = entry -> !isNew(entry) && entry.isUseful(survivals);
+        if (round % RETAINED_INTERVAL == 0) {
+            roundsSent.keySet().stream()
+                    .filter(isRetained.and(entry -> entry.isAbout(quarantined)))
+                    .forEach(due::add);
+        }
+        boolean othersDue = round % OTHERS_INTERVAL == RETAINED_INTERVAL / 2;
+        Stream<Entry> fresh =
+                roundsSent.keySet().stream().filter(this::isNew).sorted(Comparator.comparingInt(roundsSent::get));
+        Stream<Entry> others =
+                roundsSent.keySet().stream().filter(isRetained.and(entry -> othersDue && !entry.isAbout(quarantined)));
+        List<Entry> candidates = Stream.of(fresh, due.stream(), others)
+                .flatMap(entries -> entries)
                 .toList();
+        Message message = new Message(now);
         candidates.stream().filter(entry -> message.add(entry, isNew(entry))).forEach(this::countRound);
         round++;
         return message.toEvidence();
@@ -93,6 +104,7 @@
     }
 
     private void countRound(Entry entry) {
+        due.remove(entry);
         int rounds = roundsSent.remove(entry);
         roundsSent.put(entry, Math.min(rounds + 1, ROUNDS));
     }
@@ -182,7 +194,7 @@
             }
             cleared.removeIf(clearances::contains);
             length += length(cleared) + CLEARANCE_BYTES * cleared.size();
-            if (bytes > 0 && bytes + length > (isNew ? MAX_BYTES : MAX_RETAINED_BYTES)) {
+            if (bytes > 0 && bytes + length > MAX_BYTES) {
                 return false;
             }
             if (entry instanceof Entry.Suspect suspect) {
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/quarantine/SegmentQuarantineTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/quarantine/SegmentQuarantineTest.java
@@ -371,6 +371,43 @@
                 .isLessThanOrEqualTo(64);
     }
 
+    /** Retained evidence would otherwise take a datagram to each receiver in each round of an hour. */
+    @Test
+    void sendsRetainedEvidenceInFewRounds() {
+        crash(4);
+        quarantine.recordCrash(9, List.of(List.of("first", "session")), START + 5 * SECOND);
+        quarantine.recordSurvival(List.of("first"), START + 6 * SECOND);
+        long now = START + 10 * SECOND;
+        IntStream.range(0, 40).forEach(round -> quarantine.nextEvidence(now));
+        List<CrashEvidence> sent = IntStream.range(0, 1_000)
+                .mapToObj(round -> quarantine.nextEvidence(now))
+                .filter(evidence -> !evidence.isEmpty())
+                .toList();
+        assertThat(sent).hasSizeBetween(100, 150);
+        assertThat(sent.stream()
+                        .flatMap(evidence -> evidence.crashes().stream())
+                        .map(Crash::endpoint))
+                .as("crashes of the segment in quarantine and the other one")
+                .contains(0, 1, 2, 3, 9);
+    }
+
+    /** The evidence is longer than one message. */
+    @Test
+    void tellsAHostThatStartsLaterOfLongSegmentsWithinTwoSeconds() {
+        String padding = "-".repeat(60);
+        List<String> segments = List.of("first" + padding, "deadly" + padding);
+        IntStream.range(0, 60).forEach(i -> quarantine.recordCrash(i % 9, List.of(segments), START + 2 * i * SECOND));
+        long now = START + 150 * SECOND;
+        IntStream.range(0, 307).forEach(round -> quarantine.nextEvidence(now));
+        SegmentQuarantine late = new SegmentQuarantine("host-1");
+        exchange(quarantine, late, now, 20);
+        assertThat(late.holdTime(segments, now)).isEqualTo(quarantine.holdTime(segments, now));
+        Set<Crash> told = new HashSet<>();
+        IntStream.range(0, 20)
+                .forEach(round -> told.addAll(quarantine.nextEvidence(now).crashes()));
+        assertThat(told).hasSize(60);
+    }
+
     @Test
     void tellsAHostThatStartsLaterWithinTwoSeconds() {
         IntStream.range(0, 60)
