Keep a silent stream whose prompt is held back

Callers saw: a stream that was silent for longer than its stall timeout was broken off, and a waiting repeatable read got 502, although the endpoint would have gone on. Cause: Call.abandonIfStalled asked the router for another destination but not the quarantine, which then refused the retry. Change: SegmentQuarantine.isHeld tells whether a prompt would be held back without starting a trial, and an attempt isn't abandoned while it is. Both questions are asked in one turn of the event loop, so the answer can't change between them.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -345,7 +345,7 @@
 
     /**
      * Abandons the current attempt and sends the request to another upstream if no data has arrived for too long, a retry
-     * is allowed and another upstream can take it now. Otherwise the attempt goes on, since its upstream may still respond.
+     * is allowed, its prompt isn't held back and another upstream can take it now. Otherwise the attempt goes on, since its upstream may still respond.
      */
     void abandonIfStalled(long now) {
         if (currentAttempt == null) {
@@ -362,6 +362,7 @@
                 && remaining > 0
                 && RetryPolicy.isWorthwhile(timeLeft())
                 && context.retryBudgets().forService(admitted.service()).isAvailable()
+                && !context.quarantineCheck().isHeld(admitted)
                 && context.router().hasDestination(admitted, triedUpstreams)) {
             currentAttempt.abandonStalled();
         }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/QuarantineCheck.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/QuarantineCheck.java
@@ -10,7 +10,7 @@
 /**
  * Refuses requests whose prompts the quarantine holds back.
  *
- * <p>Invariant: the quarantine is asked once for each attempt, since an attempt may be its trial. Used on the host's event
+ * <p>Invariant: {@link #check} is called once for each attempt, since an attempt may be a trial of the quarantine. Used on the host's event
  * loop only.
  */
 final class QuarantineCheck {
@@ -39,4 +39,9 @@
                             + String.join(", ", segments));
         }
     }
+
+    /** Returns whether {@link #check} would refuse the request now. */
+    boolean isHeld(AdmittedCall call) {
+        return quarantine.isHeld(call.sharedSegments(), System.nanoTime());
+    }
 }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/SegmentQuarantine.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/SegmentQuarantine.java
@@ -94,6 +94,15 @@
         return Optional.empty();
     }
 
+    /** Returns whether {@link #holdTime} would hold back a prompt with these segments. Starts no trial. */
+    public boolean isHeld(List<String> segments, long now) {
+        refresh(now);
+        return segments.stream()
+                .map(attributions::get)
+                .filter(Objects::nonNull)
+                .anyMatch(attribution -> remainingNanos(attribution, now) > 0);
+    }
+
     /** Merges evidence of another host. Returns whether any of it was new. */
     public boolean merge(CrashEvidence evidence, long now) {
         long changes = evidence.clearances().stream()
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/quarantine/SegmentQuarantineTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/quarantine/SegmentQuarantineTest.java
@@ -39,6 +39,18 @@
                 .isEmpty();
     }
 
+    @Test
+    void tellsWhetherAPromptIsHeldWithoutATrial() {
+        crash(3);
+        assertThat(quarantine.isHeld(DEADLY, START + 3 * SECOND)).isTrue();
+        assertThat(quarantine.isHeld(List.of("first", "other"), START + 3 * SECOND))
+                .isFalse();
+        long trial = START + 100 * SECOND;
+        assertThat(quarantine.isHeld(DEADLY, trial)).isFalse();
+        assertThat(quarantine.holdTime(DEADLY, trial)).isEmpty();
+        assertThat(quarantine.isHeld(DEADLY, trial)).isTrue();
+    }
+
     @Test
     void needsCrashesOfSeveralEndpoints() {
         IntStream.range(0, 6).forEach(i -> quarantine.recordCrash(1, List.of(DEADLY), START + 5 * i * SECOND));
