Take no reset of an endpoint's only connection for a crash

Callers saw: three resets of single connections at three endpoints put a sound prompt segment that is rare into quarantine; requests with it got 503. Cause: a failure counted as a crash if no connection opened before it was left, which in a large fleet is the usual case, since connections soon idle out. Change: if no such connection is left, CrashDetector asks the pool for an open connection, and ChannelPool.openIfNone opens one without a request if there is none. If that fails, or no connection is open 50 ms later, it is a crash. An endpoint that was draining when its first attempt broke isn't judged; one that is removed afterwards has a closed pool and counts as crashed, as before. Why it works: an endpoint that has crashed refuses connections until it is back, which takes seconds, and one that is just crashing closes what it accepts. CrashDetectorTest implements the extended ConnectionCheck; its earlier assertions are unchanged.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.toucanlane.domain.outcome.ErrorKind;
@@ -74,12 +75,7 @@
                 new CallContext.RetryBudgets(retryLimits.retriesPerRequest(), retryLimits.maxSavedRetries()),
                 promptSentListener,
                 new QuarantineCheck(quarantine),
-                new CrashDetector(
-                        loop,
-                        log,
-                        (endpoint, time) -> endpoint.pool().hasConnectionOpenedBefore(time),
-                        quarantine::recordCrash,
-                        quarantine::recordSurvival),
+                new CrashDetector(loop, log, new PoolCheck(), quarantine::recordCrash, quarantine::recordSurvival),
                 new ResponseBuffers(MAX_BUFFERED_RESPONSE_BYTES),
                 new LinkedHashSet<>(),
                 log,
@@ -149,6 +145,25 @@
                         String.valueOf(e.getMessage()));
     }
 
+    /** Tests the connections in the pools of endpoints. */
+    private static final class PoolCheck implements CrashDetector.ConnectionCheck {
+
+        @Override
+        public boolean hasConnectionOpenedBefore(EndpointHandle endpoint, long time) {
+            return endpoint.pool().hasConnectionOpenedBefore(time);
+        }
+
+        @Override
+        public boolean hasOpenConnection(EndpointHandle endpoint) {
+            return endpoint.pool().hasOpenConnection();
+        }
+
+        @Override
+        public void openIfNone(EndpointHandle endpoint, Consumer<Boolean> result) {
+            endpoint.pool().openIfNone(result);
+        }
+    }
+
     /** Admits a request. */
     private interface Admitter {
         AdmittedCall admit(HttpRequest request, CallHead head, long receivedAt) throws CallRefusedException;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CrashDetector.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CrashDetector.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.toucanlane.edge.fleet.EndpointHandle;
 import org.toucanlane.edge.telemetry.DecisionLog;
@@ -20,14 +21,18 @@
  * crash.
  *
  * <p>An endpoint that crashes loses all its connections at once. Broken attempts are gathered for a short time after the
- * first one, and are a crash unless a connection that was open before them still is. Invariant: each broken attempt is
- * part of at most one crash. Not thread-safe: confined to the host's event loop.
+ * first one, and are a crash unless a connection that was open before them still is, or the endpoint accepts one now and
+ * keeps it open. Attempts at an endpoint that was draining by then are no crash, since its exit is planned. Invariant:
+ * each broken attempt is part of at most one crash. Not thread-safe: confined to the host's event loop.
  */
 final class CrashDetector {
 
     /** Half of the time for which broken attempts of an endpoint are gathered. */
     private static final Duration HALF_GATHERING_TIME = Duration.ofMillis(50);
 
+    /** Half of the time for which an endpoint must keep a connection open to show that it runs. */
+    private static final Duration HALF_CONFIRMATION_TIME = Duration.ofMillis(25);
+
     /** Longest pause of an answer that counts in full, since a longer one may be a stall of this host. */
     private static final long MAX_COUNTED_PAUSE_NANOS = Duration.ofMillis(100).toNanos();
 
@@ -61,21 +66,40 @@
     }
 
     private BrokenAttempts startGathering(EndpointHandle endpoint, long now) {
-        // The second step starts on the loop only after the first, so connections that were closed while the loop
-        // stalled have been read by then.
-        schedule(() -> schedule(() -> judge(endpoint)));
-        return new BrokenAttempts(now);
+        schedule(() -> judge(endpoint), HALF_GATHERING_TIME);
+        return new BrokenAttempts(now, endpoint.isDraining());
     }
 
-    private void schedule(Runnable step) {
-        loop.schedule(step, HALF_GATHERING_TIME.toMillis(), TimeUnit.MILLISECONDS);
+    /** Runs {@code step} after twice {@code halfDelay}. */
+    private void schedule(Runnable step, Duration halfDelay) {
+        // The second half starts on the loop only after the first, so connections that were closed while the loop
+        // stalled have been read by then.
+        long millis = halfDelay.toMillis();
+        loop.schedule(() -> loop.schedule(step, millis, TimeUnit.MILLISECONDS), millis, TimeUnit.MILLISECONDS);
     }
 
     private void judge(EndpointHandle endpoint) {
         BrokenAttempts broken = gathering.remove(endpoint);
-        if (connectionCheck.hasConnectionOpenedBefore(endpoint, broken.firstAt)) {
+        if (broken.exitPlanned || connectionCheck.hasConnectionOpenedBefore(endpoint, broken.firstAt)) {
             return;
         }
+        connectionCheck.openIfNone(endpoint, open -> {
+            if (open) {
+                schedule(() -> confirm(endpoint, broken), HALF_CONFIRMATION_TIME);
+            } else {
+                reportCrash(endpoint, broken);
+            }
+        });
+    }
+
+    /** Reports a crash unless a connection is open still. */
+    private void confirm(EndpointHandle endpoint, BrokenAttempts broken) {
+        if (!connectionCheck.hasOpenConnection(endpoint)) {
+            reportCrash(endpoint, broken);
+        }
+    }
+
+    private void reportCrash(EndpointHandle endpoint, BrokenAttempts broken) {
         List<List<String>> suspects = broken.suspects();
         log.stateChange(
                 "endpoint_crashed",
@@ -96,12 +120,14 @@
     private static final class BrokenAttempts {
 
         private final long firstAt;
+        private final boolean exitPlanned;
         private final Set<List<String>> answering = new LinkedHashSet<>();
         private final Set<List<String>> waiting = new LinkedHashSet<>();
         private int count;
 
-        private BrokenAttempts(long firstAt) {
+        private BrokenAttempts(long firstAt, boolean exitPlanned) {
             this.firstAt = firstAt;
+            this.exitPlanned = exitPlanned;
         }
 
         /** Returns the suspects, those whose answer had begun first. */
@@ -159,10 +185,17 @@
         }
     }
 
-    /** Tests whether a connection to an endpoint that was established before a time is still open. */
+    /** Tests the connections to endpoints. */
     interface ConnectionCheck {
 
+        /** Returns whether a connection that was established before {@code time} is still open. */
         boolean hasConnectionOpenedBefore(EndpointHandle endpoint, long time);
+
+        /** Returns whether any connection is open. */
+        boolean hasOpenConnection(EndpointHandle endpoint);
+
+        /** Opens a connection unless there is an open one. {@code result} receives whether there is one then. */
+        void openIfNone(EndpointHandle endpoint, Consumer<Boolean> result);
     }
 
     /** Receives crashes that requests may have caused. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ChannelPool.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ChannelPool.java
@@ -17,6 +17,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * A pool of connections to one address. A connection carries one request at a time and is then reused.
@@ -46,7 +47,7 @@
         ClientChannelHandler reused = takeIdle();
         if (reused != null) {
             reused.send(request, listener);
-        } else if (closed || open.size() + connectingCount >= settings.maxConnections()) {
+        } else if (isFull()) {
             request.release();
             listener.onFailed(ExchangeListener.Stage.NOT_SENT, poolUnavailable());
         } else {
@@ -69,7 +70,51 @@
         return handler;
     }
 
+    /**
+     * Opens a connection without a request, which the pool keeps for a later one, unless there is an open connection.
+     *
+     * @param result receives whether there is an open connection; it is called once, possibly before this method returns
+     */
+    public void openIfNone(Consumer<Boolean> result) {
+        if (hasOpenConnection()) {
+            result.accept(true);
+        } else if (isFull()) {
+            result.accept(false);
+        } else {
+            open(
+                    handler -> {
+                        handler.startIdling();
+                        result.accept(true);
+                    },
+                    failure -> result.accept(false));
+        }
+    }
+
+    private boolean isFull() {
+        return closed || open.size() + connectingCount >= settings.maxConnections();
+    }
+
     private void connect(FullHttpRequest request, ExchangeListener listener) {
+        PendingCall pending = new PendingCall();
+        listener.onStarted(pending);
+        open(
+                handler -> {
+                    if (pending.cancelled) {
+                        request.release();
+                        handler.close();
+                    } else {
+                        handler.send(request, listener);
+                    }
+                },
+                failure -> {
+                    request.release();
+                    if (!pending.cancelled) {
+                        listener.onFailed(ExchangeListener.Stage.NOT_SENT, failure);
+                    }
+                });
+    }
+
+    private void open(Consumer<ClientChannelHandler> opened, Consumer<Throwable> failed) {
         connectingCount++;
         ClientChannelHandler handler = new ClientChannelHandler(this, settings.idleTime());
         HttpDecoderConfig decoderConfig = new HttpDecoderConfig().setMaxHeaderSize(settings.maxHeaderBytes());
@@ -86,21 +131,15 @@
                         channel.pipeline().addLast(new HttpClientCodec(decoderConfig, true, false), handler);
                     }
                 });
-        PendingCall pending = new PendingCall();
-        listener.onStarted(pending);
         bootstrap.connect(address).addListener((ChannelFuture done) -> {
             connectingCount--;
-            if (pending.cancelled) {
-                request.release();
-                done.channel().close();
-            } else if (done.isSuccess() && !closed) {
+            if (done.isSuccess() && !closed) {
                 handler.markOpened(System.nanoTime());
                 open.add(handler);
-                handler.send(request, listener);
+                opened.accept(handler);
             } else {
-                request.release();
                 done.channel().close();
-                listener.onFailed(ExchangeListener.Stage.NOT_SENT, done.isSuccess() ? poolUnavailable() : done.cause());
+                failed.accept(done.isSuccess() ? poolUnavailable() : done.cause());
             }
         });
     }
@@ -128,6 +167,11 @@
         return open.stream().anyMatch(handler -> handler.isOpen() && handler.openedAt() - time < 0);
     }
 
+    /** Returns whether a connection is known to be open, in the sense of {@link #hasConnectionOpenedBefore}. */
+    public boolean hasOpenConnection() {
+        return open.stream().anyMatch(ClientChannelHandler::isOpen);
+    }
+
     /** Closes connections that have exceeded their idle time. */
     public void closeExpired() {
         long now = System.nanoTime();
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -186,13 +186,18 @@
     private void endExchange() {
         if (keepAlive && written && !hadMismatch && context.channel().isActive()) {
             context.channel().config().setAutoRead(true);
-            usableUntil = System.nanoTime() + idleNanos;
-            pool.release(this);
+            startIdling();
         } else {
             close();
         }
     }
 
+    /** Puts the connection, which carries no exchange, into the pool. */
+    void startIdling() {
+        usableUntil = System.nanoTime() + idleNanos;
+        pool.release(this);
+    }
+
     /** Returns whether this idle connection may carry another request. */
     boolean isUsable(long now) {
         return context.channel().isActive() && usableUntil - now > 0;
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/CrashDetectorTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/CrashDetectorTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -23,6 +24,7 @@
     private static final long SURVIVAL_NANOS = SegmentQuarantine.SURVIVAL_TIME.toNanos();
     private static final long STEP_NANOS = SURVIVAL_NANOS / 10;
     private static final int GATHERING_MILLIS = 100;
+    private static final int CONFIRMATION_MILLIS = 50;
     private static final List<String> FIRST = List.of("a", "b");
     private static final List<String> SECOND = List.of("a", "c");
 
@@ -31,13 +33,12 @@
     private final List<List<String>> survivals = new ArrayList<>();
     private final List<Long> checkedTimes = new ArrayList<>();
     private boolean connectionLeft;
+    private boolean connectionOpens;
+    private boolean connectionStaysOpen;
     private final CrashDetector detector = new CrashDetector(
             channel.eventLoop(),
             new DecisionLog("test"),
-            (endpoint, time) -> {
-                checkedTimes.add(time);
-                return connectionLeft;
-            },
+            new Connections(),
             (endpoint, suspects, time) -> crashes.add(new Crash(endpoint, suspects, time)),
             (segments, time) -> survivals.add(segments));
     private EndpointHandle endpoint;
@@ -64,7 +65,11 @@
     }
 
     private void gather() {
-        for (int i = 0; i < GATHERING_MILLIS; i++) {
+        advance(GATHERING_MILLIS);
+    }
+
+    private void advance(int millis) {
+        for (int i = 0; i < millis; i++) {
             channel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
             channel.runScheduledPendingTasks();
         }
@@ -105,6 +110,38 @@
         assertThat(crashes).isEmpty();
     }
 
+    /** Most endpoints of a large fleet have one connection, whose failure was taken for a crash. */
+    @Test
+    void ignoresAFailureOfTheOnlyConnectionIfAnotherOpens() {
+        connectionOpens = true;
+        connectionStaysOpen = true;
+        detector.watch(endpoint, FIRST).recordConnectionLost(false, START);
+        gather();
+        advance(CONFIRMATION_MILLIS);
+        assertThat(checkedTimes).containsExactly(START);
+        assertThat(crashes).isEmpty();
+    }
+
+    @Test
+    void reportsACrashIfTheNewConnectionDoesNotStayOpen() {
+        connectionOpens = true;
+        detector.watch(endpoint, FIRST).recordConnectionLost(false, START);
+        gather();
+        assertThat(crashes).isEmpty();
+        advance(CONFIRMATION_MILLIS);
+        assertThat(crashes).containsExactly(new Crash(endpoint.tag(), List.of(FIRST), START));
+    }
+
+    @Test
+    void ignoresFailuresAtAnEndpointThatWasDrainingBeforeThem() {
+        other.drain();
+        detector.watch(other, FIRST).recordConnectionLost(false, START);
+        detector.watch(endpoint, SECOND).recordConnectionLost(false, START);
+        endpoint.drain();
+        gather();
+        assertThat(crashes).containsExactly(new Crash(endpoint.tag(), List.of(SECOND), START));
+    }
+
     @Test
     void doesNotSuspectAnswersThatWentOn() {
         CrashDetector.Watch begunBefore = detector.watch(endpoint, FIRST);
@@ -192,4 +229,23 @@
         }
         watch.recordAnswer(start + nanos);
     }
+
+    private final class Connections implements CrashDetector.ConnectionCheck {
+
+        @Override
+        public boolean hasConnectionOpenedBefore(EndpointHandle checked, long time) {
+            checkedTimes.add(time);
+            return connectionLeft;
+        }
+
+        @Override
+        public boolean hasOpenConnection(EndpointHandle checked) {
+            return connectionStaysOpen;
+        }
+
+        @Override
+        public void openIfNone(EndpointHandle checked, Consumer<Boolean> result) {
+            result.accept(connectionOpens);
+        }
+    }
 }
--- /dev/null
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/http/ChannelPoolTest.java
@@ -0,0 +1,92 @@
+package org.toucanlane.edge.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests the opening of connections without a request. */
+class ChannelPoolTest {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final int MAX_HEADER_BYTES = 8 << 10;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private ServerSocket server;
+
+    @BeforeEach
+    void listen() throws Exception {
+        server = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+        server.setSoTimeout((int) TIMEOUT.toMillis());
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        server.close();
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await();
+    }
+
+    private ChannelPool pool(int maxConnections) {
+        PoolSettings settings = new PoolSettings(TIMEOUT, TIMEOUT, maxConnections, MAX_HEADER_BYTES);
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+        return new ChannelPool(address, loop, settings);
+    }
+
+    private boolean openIfNone(ChannelPool pool) throws Exception {
+        CompletableFuture<Boolean> result = new CompletableFuture<>();
+        loop.execute(() -> pool.openIfNone(result::complete));
+        return result.get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private boolean hasOpenConnection(ChannelPool pool) throws Exception {
+        return loop.submit(pool::hasOpenConnection).get();
+    }
+
+    @Test
+    void opensOneConnectionAndNoticesItsEnd() throws Exception {
+        ChannelPool pool = pool(2);
+        assertThat(hasOpenConnection(pool)).isFalse();
+        assertThat(openIfNone(pool)).isTrue();
+        assertThat(openIfNone(pool)).isTrue();
+        assertThat(hasOpenConnection(pool)).isTrue();
+        server.accept().close();
+        long end = System.nanoTime() + TIMEOUT.toNanos();
+        while (hasOpenConnection(pool) && System.nanoTime() - end < 0) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        assertThat(hasOpenConnection(pool)).isFalse();
+    }
+
+    @Test
+    void closesAConnectionWithoutARequestWithThePool() throws Exception {
+        ChannelPool pool = pool(1);
+        assertThat(openIfNone(pool)).isTrue();
+        loop.submit(pool::close).get();
+        assertThat(hasOpenConnection(pool)).isFalse();
+        assertThat(openIfNone(pool)).isFalse();
+    }
+
+    @Test
+    void opensNoConnectionBeyondTheLimit() throws Exception {
+        assertThat(openIfNone(pool(0))).isFalse();
+    }
+
+    @Test
+    void reportsARefusedConnection() throws Exception {
+        ChannelPool pool = pool(1);
+        server.close();
+        assertThat(openIfNone(pool)).isFalse();
+        assertThat(hasOpenConnection(pool)).isFalse();
+    }
+}
