Prolong the hold of a prompt segment only when a trial fails

Callers with a sound, rare segment would have been refused for up to 21 minutes if eight crashes of one outage had hit their prompts (trial of a reviewer), and crashing requests that go on for 600 s got four trials, one more than the users allow. Cause: the hold doubled with each crash event from 30 s on, also with those before the quarantine began. Now it begins at 60 s and doubles with each crash that comes after it has expired.

--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/Attribution.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/Attribution.java
@@ -17,10 +17,10 @@
  * survived since. A crash that is attributed to one segment is no evidence against others. Immutable.
  *
  * @param segment id of the segment
- * @param excessEvents number of crash events beyond those needed
+ * @param renewals number of crash events that came so long after the one before that the quarantine had expired
  * @param newestCrash time of the newest crash, in monotonic nanoseconds
  */
-record Attribution(String segment, int excessEvents, long newestCrash) {
+record Attribution(String segment, int renewals, long newestCrash) {
 
     static final int MIN_EVENTS = 3;
 
@@ -36,6 +36,9 @@
     /** Time within which crashes of several endpoints count as one event, since they may have lost power together. */
     static final long EVENT_NANOS = 300_000_000L;
 
+    /** Shortest time of a quarantine. */
+    static final long MIN_HOLD_NANOS = 60_000_000_000L;
+
     private static final int MIN_ENDPOINTS = 2;
 
     /**
@@ -105,6 +108,7 @@
         private final boolean survived;
         private final Set<Integer> endpoints = new HashSet<>();
         private int events;
+        private int renewals;
         private int position;
         private long eventStart;
         private long newest;
@@ -116,6 +120,7 @@
 
         void add(LoggedCrash crash, int positionInPrompt) {
             if (events == 0 || crash.time() - eventStart > EVENT_NANOS) {
+                renewals += hasEnoughEvents() && crash.time() - newest > MIN_HOLD_NANOS ? 1 : 0;
                 events++;
                 eventStart = crash.time();
                 endpoints.add(crash.endpoint());
@@ -129,15 +134,11 @@
         }
 
         boolean hasEnoughEvents() {
-            return excessEvents() >= 0;
-        }
-
-        private int excessEvents() {
-            return events - (survived ? MIN_EVENTS_AFTER_SURVIVAL : MIN_EVENTS);
+            return events >= (survived ? MIN_EVENTS_AFTER_SURVIVAL : MIN_EVENTS);
         }
 
         Attribution toAttribution() {
-            return new Attribution(segment, excessEvents(), newest);
+            return new Attribution(segment, renewals, newest);
         }
     }
 }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/SegmentQuarantine.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/SegmentQuarantine.java
@@ -22,7 +22,7 @@
  *
  * <p>A segment is in quarantine while it is a suspect in several crash events on different endpoints and has not survived
  * since the first of them. Of the segments that account for the same crashes only one is in quarantine. The quarantine
- * expires after a time that grows with the number of events. Then one prompt is admitted as a trial, whose crash renews
+ * expires after a time that grows with each trial that fails. Then one prompt is admitted as a trial, whose crash renews
  * the quarantine and whose survival lifts it; hosts make trials at different times.
  *
  * <p>Invariants: memory and the size of messages are bounded; merging the same evidence twice or in another order has
@@ -37,7 +37,6 @@
     /** Bounds the suspects that a host tells of a crash that it has seen. */
     private static final int MAX_OWN_SUSPECTS = 16;
 
-    private static final long MIN_HOLD_NANOS = 30_000_000_000L;
     private static final long MAX_HOLD_NANOS = 900_000_000_000L;
     private static final int MAX_DOUBLINGS = 5;
     private static final long TRIAL_NANOS = 10_000_000_000L;
@@ -220,8 +219,8 @@
     }
 
     private long holdNanos(Attribution attribution) {
-        int doublings = Math.min(attribution.excessEvents(), MAX_DOUBLINGS);
-        long nanos = Math.min(MAX_HOLD_NANOS, MIN_HOLD_NANOS << doublings);
+        int doublings = Math.min(attribution.renewals(), MAX_DOUBLINGS);
+        long nanos = Math.min(MAX_HOLD_NANOS, Attribution.MIN_HOLD_NANOS << doublings);
         return nanos + (long) (nanos * hostFraction(attribution.segment()));
     }
 
