See crashes at the end of an event of a stream without length or chunks

Callers saw: requests of one kind crashed one endpoint after the other if the stream had neither a length nor chunks and broke between two events; the host took it for the end of the stream. Cause: Attempt reported a lost connection only if the stream ended inside an event. Change: a successful answer that ends with its connection and hasn't gone on for SURVIVAL_TIME is gathered as a suspect. It is a crash only if the endpoint then has no open connection and opens none; an endpoint that has left the fleet meanwhile isn't one. What callers get is unchanged. AttemptTest.takesAnAnswerForCompleteOnlyIfItsEndIsMarked expected no report of such an end; it now expects exactly that report, also for a plain answer.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
@@ -194,9 +194,11 @@
     }
 
     private void recordCompleteAnswer() {
-        // An answer that ends with its connection may have been cut off by a crash.
         if (isSelfDelimited()) {
             upstream.recordCompleteAnswer();
+        } else {
+            // The answer may have been cut off by a crash.
+            upstream.recordEndWithConnection();
         }
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CrashDetector.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CrashDetector.java
@@ -22,7 +22,8 @@
  *
  * <p>An endpoint that crashes loses all its connections at once. Broken attempts are gathered for a short time after the
  * first one, and are a crash unless a connection that was open before them still is, or the endpoint accepts one now and
- * keeps it open. Attempts at an endpoint that was draining by then are no crash, since its exit is planned. Invariant:
+ * keeps it open. An answer that ends with its connection is gathered like a broken attempt, since a crash may have cut it
+ * off. Attempts at an endpoint that was draining by then are no crash, since its exit is planned. Invariant:
  * each broken attempt is part of at most one crash. Not thread-safe: confined to the host's event loop.
  */
 final class CrashDetector {
@@ -100,6 +101,10 @@
     }
 
     private void reportCrash(EndpointHandle endpoint, BrokenAttempts broken) {
+        if (broken.count == 0 && endpoint.isDraining()) {
+            // The answers have ended normally as far as is known, and a closed pool opens no connection.
+            return;
+        }
         List<List<String>> suspects = broken.suspects();
         log.stateChange(
                 "endpoint_crashed",
@@ -171,6 +176,19 @@
             survived = true;
         }
 
+        /**
+         * Records that the answer has ended with its connection. It is a suspect if the endpoint turns out to have
+         * crashed then, unless it went on for long enough.
+         */
+        void recordEndWithConnection(long now) {
+            if (!survived && !segments.isEmpty()) {
+                gathering
+                        .computeIfAbsent(endpoint, key -> startGathering(key, now))
+                        .answering
+                        .add(segments);
+            }
+        }
+
         /**
          * Records that the endpoint has closed or reset the connection before the answer was complete.
          *
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
@@ -56,6 +56,11 @@
         watch.recordConnectionLost(answering, System.nanoTime());
     }
 
+    @Override
+    public void recordEndWithConnection() {
+        watch.recordEndWithConnection(System.nanoTime());
+    }
+
     @Override
     public void release(Reservation.Outcome result) {
         reservation.end(result);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
@@ -52,6 +52,11 @@
         // The other host watches its own endpoints for crashes.
     }
 
+    @Override
+    public void recordEndWithConnection() {
+        // The other host watches its own endpoints for crashes.
+    }
+
     @Override
     public void release(Reservation.Outcome result) {
         // The other host releases the reservation on its endpoint.
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Upstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Upstream.java
@@ -35,6 +35,9 @@
      */
     void recordConnectionLost(boolean answering);
 
+    /** Records that an answer has ended with its connection, so that it isn't known whether it is complete. */
+    void recordEndWithConnection();
+
     /** Releases the reservation held for the attempt and records its result. */
     void release(Reservation.Outcome result);
 
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/AttemptTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/AttemptTest.java
@@ -137,7 +137,12 @@
         Attempt closed = start(CallKind.STREAM);
         closed.onHead(head(HttpResponseStatus.OK));
         closed.onData(bytes(EVENT), true);
-        assertThat(events.upstreamEvents).containsExactly("answer");
+        assertThat(events.upstreamEvents).containsExactly("answer", "ended with connection");
+        events.upstreamEvents.clear();
+        Attempt plain = start(CallKind.IDEMPOTENT);
+        plain.onHead(head(HttpResponseStatus.OK));
+        plain.onData(bytes("done"), true);
+        assertThat(events.upstreamEvents).containsExactly("answer", "ended with connection");
     }
 
     @Test
@@ -237,6 +242,11 @@
             upstreamEvents.add("complete");
         }
 
+        @Override
+        public void recordEndWithConnection() {
+            upstreamEvents.add("ended with connection");
+        }
+
         @Override
         public void recordConnectionLost(boolean answering) {
             upstreamEvents.add(answering ? "lost while answering" : "lost");
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/CrashDetectorTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/CrashDetectorTest.java
@@ -142,6 +142,33 @@
         assertThat(crashes).containsExactly(new Crash(endpoint.tag(), List.of(SECOND), START));
     }
 
+    /** A crash at the end of an event of a stream that has neither a length nor chunks went unseen. */
+    @Test
+    void suspectsAnAnswerThatEndedWithItsConnectionIfNoOtherOpens() {
+        detector.watch(endpoint, FIRST).recordEndWithConnection(START);
+        gather();
+        assertThat(crashes).containsExactly(new Crash(endpoint.tag(), List.of(FIRST), START));
+    }
+
+    @Test
+    void takesNoAnswerThatEndedWithItsConnectionForACrashByItself() {
+        detector.watch(other, FIRST).recordEndWithConnection(START);
+        other.drain();
+        CrashDetector.Watch begunBefore = detector.watch(endpoint, FIRST);
+        answerFor(begunBefore, SURVIVAL_NANOS, START - SURVIVAL_NANOS);
+        begunBefore.recordEndWithConnection(START);
+        gather();
+        assertThat(checkedTimes).containsExactly(START);
+        assertThat(crashes).isEmpty();
+        connectionOpens = true;
+        connectionStaysOpen = true;
+        detector.watch(endpoint, FIRST).recordEndWithConnection(START + 1);
+        gather();
+        advance(CONFIRMATION_MILLIS);
+        assertThat(checkedTimes).containsExactly(START, START + 1);
+        assertThat(crashes).isEmpty();
+    }
+
     @Test
     void doesNotSuspectAnswersThatWentOn() {
         CrashDetector.Watch begunBefore = detector.watch(endpoint, FIRST);
