Tell of the likeliest suspects of a crash, and hold from 120 s

A host told of 16 suspects chosen by hash among those that never survived, so the order of the crash detector (answers that had begun first) was lost. Now the order decides.

--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/Attribution.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/Attribution.java
@@ -37,7 +37,7 @@
     static final long EVENT_NANOS = 300_000_000L;
 
     /** Shortest time of a quarantine. */
-    static final long MIN_HOLD_NANOS = 60_000_000_000L;
+    static final long MIN_HOLD_NANOS = 120_000_000_000L;
 
     private static final int MIN_ENDPOINTS = 2;
 
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/LoggedCrash.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/LoggedCrash.java
@@ -80,7 +80,7 @@
     }
 
     /** Returns the order in which suspects are kept. */
-    Comparator<List<String>> preference() {
+    private Comparator<List<String>> preference() {
         return Comparator.<List<String>>comparingLong(suspect -> weight(endpoint, String.join(" ", suspect)))
                 .thenComparing(List::toString);
     }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/SegmentQuarantine.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/SegmentQuarantine.java
@@ -59,8 +59,8 @@
      * Records a crash that this host has seen. A crash without suspects is ignored.
      *
      * @param endpoint tag of the endpoint
-     * @param suspects requests whose answer had not begun, or had only just begun; of each one the ids of its prompt
-     *     segments except the last
+     * @param suspects requests whose answer had not begun, or had only just begun, the likeliest cause first; of each one
+     *     the ids of its prompt segments except the last
      */
     public void recordCrash(int endpoint, List<List<String>> suspects, long now) {
         addCrash(endpoint, suspects, now, now, MAX_OWN_SUSPECTS);
@@ -145,7 +145,7 @@
             log.sort();
             attributionsStale = true;
         }
-        Set<List<String>> added = log.addSuspects(crash, likeliest(crash, suspects, maxSuspects));
+        Set<List<String>> added = log.addSuspects(crash, likeliest(suspects, maxSuspects));
         if (added.isEmpty()) {
             return false;
         }
@@ -157,15 +157,13 @@
         return log.contains(crash);
     }
 
-    /** Returns the suspects to keep: first those with a segment that is not known to survive. */
-    private List<List<String>> likeliest(LoggedCrash crash, List<List<String>> suspects, int max) {
+    /** Returns the suspects to keep: first those with a segment that is not known to survive, else in their order. */
+    private List<List<String>> likeliest(List<List<String>> suspects, int max) {
         return suspects.size() <= max
                 ? suspects
                 : suspects.stream()
                         .distinct()
-                        .sorted(Comparator.<List<String>, Boolean>comparing(
-                                        suspect -> suspect.stream().noneMatch(survivals::isUnknown))
-                                .thenComparing(crash.preference()))
+                        .sorted(Comparator.comparing(suspect -> suspect.stream().noneMatch(survivals::isUnknown)))
                         .limit(max)
                         .toList();
     }
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/FreePortFinder.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/FreePortFinder.java
@@ -6,7 +6,8 @@
 import java.net.ServerSocket;
 
 /**
- * Finds loopback ports, unused by streams and by datagrams, below the range from which the system takes the ephemeral ports of outgoing connections.
+ * Finds loopback ports, unused by streams and by datagrams, below the range from which the system takes the ephemeral
+ * ports of outgoing connections.
  * Thread-safe.
  */
 public final class FreePortFinder {
