--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -345,7 +345,8 @@
 
     /**
      * Abandons the current attempt and sends the request to another upstream if no data has arrived for too long, a retry
-     * is allowed, its prompt isn't held back and another upstream can take it now. Otherwise the attempt goes on, since its upstream may still respond.
+     * is allowed, its prompt isn't held back and another upstream can take it now. Otherwise the attempt goes on, since
+     * its upstream may still respond.
      */
     void abandonIfStalled(long now) {
         if (currentAttempt == null) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/QuarantineCheck.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/QuarantineCheck.java
@@ -10,8 +10,8 @@
 /**
  * Refuses requests whose prompts the quarantine holds back.
  *
- * <p>Invariant: {@link #check} is called once for each attempt, since an attempt may be a trial of the quarantine. Used on the host's event
- * loop only.
+ * <p>Invariant: {@link #check} is called once for each attempt, since an attempt may be a trial of the quarantine. Used
+ * on the host's event loop only.
  */
 final class QuarantineCheck {
 
