Look up the quarantined segments of a prompt in one place

Found on the last read: holdTime and isHeld repeated the look-up, and the comment on the choice among segments was hard to follow.

--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/Attribution.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/Attribution.java
@@ -41,9 +41,7 @@
 
     private static final int MIN_ENDPOINTS = 2;
 
-    /**
-     * Attributes crashes to segments, the most likely segment first.
-     */
+    /** Attributes crashes to segments, the most likely segment first. */
     static Map<String, Attribution> of(CrashLog log, Survivals survivals) {
         List<LoggedCrash> unexplained = new ArrayList<>(log.crashes());
         List<String> candidates = candidates(log, survivals);
@@ -96,8 +94,9 @@
     private static final class Tally {
 
         /**
-         * Prefers segments that never survived, so that a rare sound segment that all requests share with the crashing
-         * one is not chosen. Among equals, later positions in the prompt are shared by fewer requests.
+         * Prefers segments that never survived: a sound segment that stands beside the crashing one in as many crashes
+         * has usually survived in other requests. Among these prefers the segment with the most events, then the later
+         * position in the prompt, which fewer requests share.
          */
         static final Comparator<Tally> LIKELIEST_FIRST = Comparator.<Tally, Boolean>comparing(tally -> tally.survived)
                 .thenComparing(tally -> -tally.events)
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/SegmentQuarantine.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/SegmentQuarantine.java
@@ -78,14 +78,7 @@
      * is about to be sent.
      */
     public Optional<Duration> holdTime(List<String> segments, long now) {
-        refresh(now);
-        if (attributions.isEmpty()) {
-            return Optional.empty();
-        }
-        List<Attribution> involved = segments.stream()
-                .map(attributions::get)
-                .filter(Objects::nonNull)
-                .toList();
+        List<Attribution> involved = involved(segments, now);
         long remaining = involved.stream()
                 .mapToLong(attribution -> remainingNanos(attribution, now))
                 .max()
@@ -99,11 +92,18 @@
 
     /** Returns whether {@link #holdTime} would hold back a prompt with these segments. Starts no trial. */
     public boolean isHeld(List<String> segments, long now) {
+        return involved(segments, now).stream().anyMatch(attribution -> remainingNanos(attribution, now) > 0);
+    }
+
+    /** Returns the attributions of those of {@code segments} that are in quarantine. */
+    private List<Attribution> involved(List<String> segments, long now) {
         refresh(now);
-        return segments.stream()
-                .map(attributions::get)
-                .filter(Objects::nonNull)
-                .anyMatch(attribution -> remainingNanos(attribution, now) > 0);
+        return attributions.isEmpty()
+                ? List.of()
+                : segments.stream()
+                        .map(attributions::get)
+                        .filter(Objects::nonNull)
+                        .toList();
     }
 
     /** Merges evidence of another host. Returns whether any of it was new. */
