Log the request limits that endpoints name

Callers saw nothing of it: an endpoint that names a limit got many times as many requests as it takes. Now endpoint_request_limit is logged when a limit is named, changed or lifted, and toucanlane_endpoints_limited counts the endpoints with one. No decision changes. A response lifts a limit only if its request was sent after the last response that named one, as responses may overtake each other.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
@@ -80,6 +80,7 @@
             return false;
         }
         upstream.recordProgress();
+        upstream.recordRequestLimit(parsed.requestLimit());
         head = response;
         endpointResponse = parsed;
         refusal = upstream.readRefusal(response);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -151,7 +151,10 @@
         triedUpstreams.add(endpoint.id());
         startAttempt(
                 new EndpointUpstream(
-                        endpoint, reservation, context.crashDetector().watch(endpoint, admitted.sharedSegments())),
+                        endpoint,
+                        reservation,
+                        context.crashDetector().watch(endpoint, admitted.sharedSegments()),
+                        context.log()),
                 headers);
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointResponse.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointResponse.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * The parsed head of an endpoint's response.
@@ -12,6 +13,7 @@
  * @param misdirected whether the response comes from an endpoint other than the intended one
  * @param leaving whether the endpoint announces that it is about to shut down and wants no new requests
  * @param retryAfter time for which the endpoint, having rejected the request, wants no requests from this host
+ * @param requestLimit requests per second that the endpoint takes from all hosts together, if it limits them
  * @param hasSeal whether the response carries the mark by which an endpoint identifies its own responses
  */
 public record EndpointResponse(
@@ -21,6 +23,7 @@
         boolean misdirected,
         boolean leaving,
         Optional<Duration> retryAfter,
+        OptionalDouble requestLimit,
         boolean hasSeal) {
 
     /** Returns whether the status is 2xx. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
@@ -4,9 +4,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.toucanlane.edge.fleet.EndpointHandle;
 import org.toucanlane.edge.fleet.Reservation;
 import org.toucanlane.edge.http.ExchangeListener;
+import org.toucanlane.edge.telemetry.DecisionLog;
 
 /** An upstream that is an endpoint in this host's region. */
 final class EndpointUpstream implements Upstream {
@@ -14,11 +16,14 @@
     private final EndpointHandle endpoint;
     private final Reservation reservation;
     private final CrashDetector.Watch watch;
+    private final DecisionLog log;
+    private final long createdAt = System.nanoTime();
 
-    EndpointUpstream(EndpointHandle endpoint, Reservation reservation, CrashDetector.Watch watch) {
+    EndpointUpstream(EndpointHandle endpoint, Reservation reservation, CrashDetector.Watch watch, DecisionLog log) {
         this.endpoint = endpoint;
         this.reservation = reservation;
         this.watch = watch;
+        this.log = log;
     }
 
     @Override
@@ -76,6 +81,23 @@
         endpoint.pause(time, System.nanoTime());
     }
 
+    @Override
+    public void recordRequestLimit(OptionalDouble requestsPerSecond) {
+        OptionalDouble before = endpoint.requestLimit();
+        endpoint.updateRequestLimit(requestsPerSecond, createdAt, System.nanoTime());
+        OptionalDouble after = endpoint.requestLimit();
+        if (!after.equals(before)) {
+            log.stateChange(
+                    "endpoint_request_limit",
+                    "endpoint",
+                    endpoint.id(),
+                    "limited",
+                    after.isPresent(),
+                    "requests_per_second",
+                    after.orElse(0));
+        }
+    }
+
     @Override
     public void markReplaced() {
         endpoint.drain();
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.toucanlane.edge.fleet.HostHandle;
 import org.toucanlane.edge.fleet.Reservation;
 import org.toucanlane.edge.http.ExchangeListener;
@@ -72,6 +73,11 @@
         // The other host pauses its endpoint.
     }
 
+    @Override
+    public void recordRequestLimit(OptionalDouble requestsPerSecond) {
+        // The other host limits its requests to its endpoint.
+    }
+
     @Override
     public void markReplaced() {
         // The address of a host can't be reassigned while its lease is held.
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Upstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Upstream.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.toucanlane.edge.fleet.Reservation;
 import org.toucanlane.edge.http.ExchangeListener;
 
@@ -47,6 +48,13 @@
     /** Records that the upstream wants no requests from this host for {@code time}. */
     void pause(Duration time);
 
+    /**
+     * Records what a response to this attempt says about the rate of requests.
+     *
+     * @param requestsPerSecond rate that the endpoint takes from all hosts together, or empty if it doesn't limit them
+     */
+    void recordRequestLimit(OptionalDouble requestsPerSecond);
+
     /** Records that the address now belongs to another endpoint. */
     void markReplaced();
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.toucanlane.coordination.hash.RendezvousHash;
 import org.toucanlane.domain.serving.EndpointRegistration;
@@ -85,6 +86,8 @@
     private long lastColdSlot = -1;
     private long overloadedUntil = System.nanoTime();
     private long pausedUntil = System.nanoTime();
+    private OptionalDouble requestLimit = OptionalDouble.empty();
+    private long requestLimitConfirmedAt = System.nanoTime();
     private boolean draining;
 
     EndpointHandle(EndpointRegistration entry, ChannelPool pool, long memoryTokens) {
@@ -251,6 +254,27 @@
         return Duration.ofNanos(Math.max(0, pausedUntil - now));
     }
 
+    /**
+     * Applies what a response says about the rate of requests. A response without a limit lifts it only if its request was
+     * sent after the last response with one, since responses on different connections may overtake each other.
+     *
+     * @param requestsPerSecond rate that the endpoint takes from all hosts together, or empty if it doesn't limit them
+     * @param sentAt monotonic time at which the request was sent
+     */
+    public void updateRequestLimit(OptionalDouble requestsPerSecond, long sentAt, long now) {
+        if (requestsPerSecond.isPresent()) {
+            requestLimit = requestsPerSecond;
+            requestLimitConfirmedAt = now;
+        } else if (sentAt - requestLimitConfirmedAt > 0) {
+            requestLimit = OptionalDouble.empty();
+        }
+    }
+
+    /** Returns the requests per second that the endpoint takes from all hosts together, or empty if it has no limit. */
+    public OptionalDouble requestLimit() {
+        return requestLimit;
+    }
+
     void recordSuccess(long now) {
         health.recordSuccess();
         setFailureRate(failureRate(now) * (1 - SMOOTHING_FACTOR), now);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -270,6 +270,12 @@
                     .filter(endpoint -> endpoint.isUsable(now))
                     .count();
         });
+        metrics.registerGauge(
+                "toucanlane.endpoints.limited",
+                "endpoints that limit the rate of requests",
+                () -> fleet.endpoints().stream()
+                        .filter(endpoint -> endpoint.requestLimit().isPresent())
+                        .count());
         metrics.registerGauge(
                 "toucanlane.segments.quarantined",
                 "prompt segments that are kept from endpoints because endpoints crashed on them",
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/AttemptTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/AttemptTest.java
@@ -21,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -200,7 +201,14 @@
         @Override
         public EndpointResponse readResponse(HttpResponse response) {
             return new EndpointResponse(
-                    response.status().code(), Optional.empty(), false, false, false, Optional.of(HOLD_TIME), true);
+                    response.status().code(),
+                    Optional.empty(),
+                    false,
+                    false,
+                    false,
+                    Optional.of(HOLD_TIME),
+                    OptionalDouble.empty(),
+                    true);
         }
 
         @Override
@@ -290,6 +298,9 @@
         @Override
         public void pause(Duration time) {}
 
+        @Override
+        public void recordRequestLimit(OptionalDouble requestsPerSecond) {}
+
         @Override
         public void markReplaced() {}
 
