Keep to the request limits that endpoints name

Cause: no part of the product read the limit, and an endpoint on which little runs is the fastest choice of every host, so the traffic grew there first.

Each host of the region now uses an equal share of the rate, without messages. Few hosts save their shares up to one request; many take turns by the time of day, so that saved requests can't come as a burst. The turns are those of cold endpoints, whose class is now EndpointRateShare. Other regions see an endpoint with a limit as unusable, since its low load would attract their requests. If all endpoints of a region limit their requests, a request is refused at once with the time of the next one. A limit of zero is taken as one request in four seconds, as only a response can lift it.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -18,8 +19,8 @@
 import org.toucanlane.edge.fleet.HostRecord;
 import org.toucanlane.policy.admission.AdmissionLimit;
 import org.toucanlane.policy.admission.LoadShedder;
-import org.toucanlane.policy.placement.ColdStartRateLimit;
 import org.toucanlane.policy.placement.EndpointPlacer;
+import org.toucanlane.policy.placement.EndpointRateShare;
 import org.toucanlane.policy.placement.Placement;
 import org.toucanlane.policy.placement.PlacementCandidate;
 import org.toucanlane.policy.placement.PromptSize;
@@ -162,12 +163,13 @@
 
     private CallRefusedException noDestination(AdmittedCall call, long now) {
         List<EndpointHandle> known = fleet.endpointsOf(call.service());
-        Optional<Duration> pause = shortestPause(call, known, now);
-        if (pause.isPresent()) {
+        Optional<Duration> delay = shortestRequestedDelay(call, known, now);
+        if (delay.isPresent()) {
             return new CallRefusedException(
                     ErrorKind.OVERLOADED,
-                    pause.get(),
-                    "all endpoints of service " + call.service() + " in this region have asked for a pause");
+                    delay.get(),
+                    "all endpoints of service " + call.service()
+                            + " in this region have asked for a pause or for fewer requests");
         }
         boolean anyCold = known.stream()
                 .anyMatch(endpoint -> isLocal(endpoint) && endpoint.isUsable(now) && endpoint.isCold(now));
@@ -187,19 +189,27 @@
         return new CallRefusedException(ErrorKind.NO_ENDPOINT, NO_ENDPOINT_RETRY_AFTER, detail);
     }
 
-    /** Returns the shortest pause of the region's endpoints if all of them that don't leave are paused. */
-    private Optional<Duration> shortestPause(AdmittedCall call, List<EndpointHandle> known, long now) {
+    /**
+     * Returns the shortest time for which an endpoint of this region wants no request from this host, if each one that
+     * doesn't leave has asked for a pause or named a limit.
+     */
+    private Optional<Duration> shortestRequestedDelay(AdmittedCall call, List<EndpointHandle> known, long now) {
         List<EndpointHandle> staying = known.stream()
                 .filter(endpoint -> isLocal(endpoint)
                         && call.mayRunIn(region)
                         && !endpoint.isDraining()
                         && !fleet.isEvacuated(endpoint.entry().dataCentre()))
                 .toList();
-        boolean allPaused = staying.stream()
-                .noneMatch(endpoint -> endpoint.remainingPause(now).isZero());
-        return allPaused
-                ? staying.stream().map(endpoint -> endpoint.remainingPause(now)).min(Comparator.naturalOrder())
-                : Optional.empty();
+        return staying.stream()
+                .map(endpoint -> requestedDelay(endpoint, now))
+                .min(Comparator.naturalOrder())
+                .filter(delay -> !delay.isZero());
+    }
+
+    private Duration requestedDelay(EndpointHandle endpoint, long now) {
+        Duration pause = endpoint.remainingPause(now);
+        Duration limitDelay = limitDelay(endpoint, now);
+        return pause.compareTo(limitDelay) >= 0 ? pause : limitDelay;
     }
 
     private boolean isLocal(EndpointHandle endpoint) {
@@ -214,7 +224,8 @@
                         0,
                         endpoint -> endpoint.isUsable(now)
                                 && !tried.contains(endpoint.id())
-                                && hasColdCapacity(endpoint, now),
+                                && hasColdCapacity(endpoint, now)
+                                && limitDelay(endpoint, now).isZero(),
                         now)
                 : List.of();
     }
@@ -230,28 +241,44 @@
      * Returns this host's share of the request rate allowed for a cold endpoint, or empty if its service has no such
      * limit.
      */
-    private Optional<ColdStartRateLimit> coldRate(EndpointHandle endpoint) {
+    private Optional<EndpointRateShare> coldRate(EndpointHandle endpoint) {
         return fleet.configuration()
                 .flatMap(current -> current.service(endpoint.entry().service()))
                 .map(ServingService::coldStartRequestsPerSecond)
                 .filter(perSecond -> perSecond > 0)
-                .map(perSecond -> ColdStartRateLimit.of(
-                        hostName,
-                        fleet.hosts().stream()
-                                .map(HostHandle::entry)
-                                .filter(host -> host.region().equals(region))
-                                .map(HostRecord::name)
-                                .toList(),
-                        endpoint.id(),
-                        perSecond));
+                .map(perSecond -> shareOf(endpoint, perSecond));
+    }
+
+    /** Returns this host's share of a rate that {@code endpoint}, which is in this region, takes from all hosts. */
+    private EndpointRateShare shareOf(EndpointHandle endpoint, double requestsPerSecond) {
+        List<String> others = fleet.hosts().stream()
+                .map(HostHandle::entry)
+                .filter(host -> host.region().equals(region))
+                .map(HostRecord::name)
+                .toList();
+        return EndpointRateShare.of(hostName, others, endpoint.id(), requestsPerSecond);
+    }
+
+    /** Returns the time until the limit that {@code endpoint} has named allows a request; zero if it does now. */
+    private Duration limitDelay(EndpointHandle endpoint, long now) {
+        OptionalDouble rate = endpoint.allowedRate();
+        return rate.isEmpty()
+                ? Duration.ZERO
+                : endpoint.limitDelay(shareOf(endpoint, rate.getAsDouble()), now, timeOfDay());
+    }
+
+    private static Duration timeOfDay() {
+        return Duration.ofMillis(System.currentTimeMillis());
     }
 
-    /** Counts a request against the rate limit of {@code endpoint} if the endpoint is cold. */
+    /** Counts a request against the limits on the rate of requests to {@code endpoint}. */
     void recordSend(EndpointHandle endpoint) {
         long now = System.nanoTime();
         if (endpoint.isCold(now)) {
             coldRate(endpoint).ifPresent(rate -> endpoint.recordColdRequest(rate, now));
         }
+        endpoint.allowedRate()
+                .ifPresent(rate -> endpoint.recordLimitedRequest(shareOf(endpoint, rate), now, timeOfDay()));
     }
 
     /** Returns the endpoint with this name, or empty if {@code name} is unknown or the name of a host. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
@@ -12,8 +12,9 @@
 import org.toucanlane.domain.serving.EndpointRegistration;
 import org.toucanlane.edge.http.ChannelPool;
 import org.toucanlane.policy.health.EndpointHealth;
-import org.toucanlane.policy.placement.ColdStartRateLimit;
 import org.toucanlane.policy.placement.EndpointLoad;
+import org.toucanlane.policy.placement.EndpointRateLimiter;
+import org.toucanlane.policy.placement.EndpointRateShare;
 
 /**
  * Tracks one process of an endpoint: its connection pool, the load on it, its prefix cache and its health.
@@ -58,6 +59,9 @@
     /** Consecutive failures that eject an endpoint; shorter runs are common when only some of the requests fail. */
     private static final int EJECTION_THRESHOLD = 4;
 
+    /** Lowest rate of requests to an endpoint with a limit; without any, the host would not learn that it was lifted. */
+    private static final double MIN_REQUESTS_PER_SECOND = 0.25;
+
     private static final Duration BASE_EJECTION_TIME = Duration.ofMillis(800);
     private static final Duration MAX_EJECTION_TIME = Duration.ofSeconds(6);
 
@@ -87,6 +91,7 @@
     private long overloadedUntil = System.nanoTime();
     private long pausedUntil = System.nanoTime();
     private OptionalDouble requestLimit = OptionalDouble.empty();
+    private EndpointRateLimiter rateLimiter = new EndpointRateLimiter(System.nanoTime());
     private long requestLimitConfirmedAt = System.nanoTime();
     private boolean draining;
 
@@ -158,13 +163,13 @@
     }
 
     /** Returns whether this host's share of the cold-start rate allows a request now. */
-    public boolean hasColdCapacity(ColdStartRateLimit rate, long now) {
+    public boolean hasColdCapacity(EndpointRateShare rate, long now) {
         OptionalLong slot = rate.turnAt(Duration.ofNanos(now - coldSince));
         return slot.isPresent() && slot.getAsLong() > lastColdSlot;
     }
 
     /** Records a request that was sent during the cold start. */
-    public void recordColdRequest(ColdStartRateLimit rate, long now) {
+    public void recordColdRequest(EndpointRateShare rate, long now) {
         rate.turnAt(Duration.ofNanos(now - coldSince)).ifPresent(slot -> lastColdSlot = slot);
     }
 
@@ -263,6 +268,9 @@
      */
     public void updateRequestLimit(OptionalDouble requestsPerSecond, long sentAt, long now) {
         if (requestsPerSecond.isPresent()) {
+            if (requestLimit.isEmpty()) {
+                rateLimiter = new EndpointRateLimiter(now);
+            }
             requestLimit = requestsPerSecond;
             requestLimitConfirmedAt = now;
         } else if (sentAt - requestLimitConfirmedAt > 0) {
@@ -275,6 +283,23 @@
         return requestLimit;
     }
 
+    /** Returns the rate at which all hosts together may send requests, or empty if it isn't limited. */
+    public OptionalDouble allowedRate() {
+        return requestLimit.isPresent()
+                ? OptionalDouble.of(Math.max(MIN_REQUESTS_PER_SECOND, requestLimit.getAsDouble()))
+                : requestLimit;
+    }
+
+    /** Returns the time until this host's share of {@link #allowedRate} allows a request; zero if it does now. */
+    public Duration limitDelay(EndpointRateShare share, long now, Duration timeOfDay) {
+        return rateLimiter.delay(share, now, timeOfDay);
+    }
+
+    /** Records a request that was sent while the rate was limited. */
+    public void recordLimitedRequest(EndpointRateShare share, long now, Duration timeOfDay) {
+        rateLimiter.recordRequest(share, now, timeOfDay);
+    }
+
     void recordSuccess(long now) {
         health.recordSuccess();
         setFailureRate(failureRate(now) * (1 - SMOOTHING_FACTOR), now);
@@ -335,9 +360,13 @@
                 serviceMillis);
     }
 
-    /** Returns the usage by this host, and its view of the endpoint's health. */
+    /**
+     * Returns the usage by this host, and its view of the endpoint's health. An endpoint with a limit is reported as
+     * unusable, since its low load would attract requests of other regions.
+     */
     public EndpointUsage localUsage(long now) {
-        return new EndpointUsage(running, pendingTokens, usedTokens, isUsable(now), slowness(now), 1);
+        boolean usable = isUsable(now) && requestLimit.isEmpty();
+        return new EndpointUsage(running, pendingTokens, usedTokens, usable, slowness(now), 1);
     }
 
     /** Returns the sum of the usage by this host and of the reported usage. */
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/RouterTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/RouterTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -18,6 +19,7 @@
 import org.toucanlane.domain.serving.RouteBounds;
 import org.toucanlane.domain.serving.ServingRoute;
 import org.toucanlane.edge.TestFixtures;
+import org.toucanlane.edge.fleet.EndpointHandle;
 import org.toucanlane.edge.fleet.Fleet;
 import org.toucanlane.edge.telemetry.DecisionLog;
 
@@ -58,6 +60,23 @@
                         "the service has 2, 2 of them in allowed regions (any region), 2 of those usable");
     }
 
+    /** Guards against requests of other regions that follow the low load of an endpoint with a limit. */
+    @Test
+    void reportsAnEndpointWithALimitAsUnusable() {
+        fleet.endpointChanged("e", Optional.of(TestFixtures.endpoint("e", "z")));
+        EndpointHandle endpoint = fleet.endpoint("e").orElseThrow();
+        long now = System.nanoTime();
+        endpoint.updateRequestLimit(OptionalDouble.of(0), now, now + 1);
+        assertThat(endpoint.localUsage(now + 1).usable()).isFalse();
+        assertThat(endpoint.isUsable(now + 1)).isTrue();
+        endpoint.updateRequestLimit(OptionalDouble.empty(), now, now + 2);
+        assertThat(endpoint.requestLimit())
+                .as("the request was sent before the limit was known")
+                .hasValue(0);
+        endpoint.updateRequestLimit(OptionalDouble.empty(), now + 2, now + 3);
+        assertThat(endpoint.localUsage(now + 3).usable()).isTrue();
+    }
+
     private static AdmittedCall call(Set<String> regions) {
         ServingRoute route = TestFixtures.route("r", "/", regions);
         CallHead head = new CallHead(
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/placement/ColdStartRateLimitTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/placement/EndpointRateShareTest.java
@@ -11,7 +11,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
-class ColdStartRateLimitTest {
+class EndpointRateShareTest {
 
     private static final double REQUESTS_PER_SECOND = 4;
 
@@ -44,7 +44,7 @@
         for (String self : names) {
             List<String> others =
                     names.stream().filter(name -> !name.equals(self)).toList();
-            ColdStartRateLimit limit = ColdStartRateLimit.of(self, others, "endpoint", REQUESTS_PER_SECOND);
+            EndpointRateShare limit = EndpointRateShare.of(self, others, "endpoint", REQUESTS_PER_SECOND);
             double delay = random.nextDouble() * 0.4;
             long last = -1;
             for (int millis = 0; millis < 5_000; millis++) {
@@ -60,7 +60,7 @@
 
     @Test
     void unusedTurnsExpire() {
-        ColdStartRateLimit limit = new ColdStartRateLimit(2, 26, REQUESTS_PER_SECOND);
+        EndpointRateShare limit = new EndpointRateShare(2, 26, REQUESTS_PER_SECOND);
         assertThat(limit.turnAt(Duration.ofMillis(499))).isEmpty();
         assertThat(limit.turnAt(Duration.ofMillis(500))).hasValue(2);
         assertThat(limit.turnAt(Duration.ofMillis(749))).hasValue(2);
@@ -72,7 +72,7 @@
     void assignsDifferentTurnsAtDifferentEndpoints() {
         List<String> others = IntStream.range(0, 20).mapToObj(i -> "host-" + i).toList();
         assertThat(IntStream.range(0, 30)
-                        .map(i -> ColdStartRateLimit.of("self", others, "endpoint-" + i, 1)
+                        .map(i -> EndpointRateShare.of("self", others, "endpoint-" + i, 1)
                                 .hostIndex())
                         .distinct()
                         .count())
@@ -81,7 +81,7 @@
 
     @Test
     void rejectsAZeroRate() {
-        assertThatThrownBy(() -> ColdStartRateLimit.of("self", List.of(), "e", 0))
+        assertThatThrownBy(() -> EndpointRateShare.of("self", List.of(), "e", 0))
                 .hasMessageContaining("0");
     }
 }
