Log the fingerprint of requests whose attempts fail

The logs can't tell which request it was: the lines of failed attempts have an id that is new each time, and those of crashes name segments of prompts that others share. attempt_failed now has a fingerprint that is equal for requests with the same method, path, account and body. No decision changes.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -51,6 +51,7 @@
     private final CallContext context;
     private final InboundRequest inbound;
     private final AdmittedCall admitted;
+    private final String fingerprint;
     private final Set<String> triedUpstreams = new HashSet<>();
     private final List<Attempt> attempts = new ArrayList<>();
     private Attempt currentAttempt;
@@ -72,6 +73,11 @@
         this.inbound = inbound;
         this.admitted = admitted;
         this.endpointsLeft = admitted.endpointsLeft();
+        this.fingerprint = RequestFingerprint.of(
+                inbound.head().method(),
+                inbound.head().uri(),
+                admitted.account().map(ServingAccount::name),
+                inbound.body());
         admitted.head().lastEventId().ifPresent(this::resumeAfter);
     }
 
@@ -316,6 +322,8 @@
                         currentAttempt == null ? "" : currentAttempt.upstream().name(),
                         "kind",
                         kind,
+                        "fingerprint",
+                        fingerprint,
                         "cause",
                         cause);
         if (shouldRetry(kind)) {
