Keep requests that crash endpoints from further ones

Callers saw broken streams and 502: one request, sent again and again with the same path, account and body, crashed 21 and 22 endpoints in the incident, each with all that ran there. Cause: the quarantine knew the shared segments of prompts only. Such a request has segments that others share, or none, so it was never held back, and its crashes counted against segments that happened to run beside it (three of them in quarantine within a second).

The fingerprint of the whole request now counts as its last segment: it is a suspect of a crash, survives with an answer, goes to all hosts with the evidence, and is held back like a segment. At equal counts the later position wins, so the crashes of such a request no longer count against the segments beside it. A host that must choose among many suspects first keeps those that were suspects before and never survived; half of the rest goes to unknown segments as before, the others are a sample that differs between endpoints, since this request may have only segments that survive in others.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -1,5 +1,6 @@
 package org.toucanlane.edge.call;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -52,6 +53,10 @@
     private final InboundRequest inbound;
     private final AdmittedCall admitted;
     private final String fingerprint;
+
+    /** Segments of the prompt that other requests may share, and the fingerprint of the whole request. */
+    private final List<String> crashSuspects;
+
     private final Set<String> triedUpstreams = new HashSet<>();
     private final List<Attempt> attempts = new ArrayList<>();
     private Attempt currentAttempt;
@@ -78,6 +83,10 @@
                 inbound.head().uri(),
                 admitted.account().map(ServingAccount::name),
                 inbound.body());
+        this.crashSuspects = ImmutableList.<String>builder()
+                .addAll(admitted.sharedSegments())
+                .add(fingerprint)
+                .build();
         admitted.head().lastEventId().ifPresent(this::resumeAfter);
     }
 
@@ -103,7 +112,7 @@
 
     private void sendToNextUpstream() {
         try {
-            context.quarantineCheck().check(admitted);
+            context.quarantineCheck().check(crashSuspects);
             Destination destination = context.router().choose(admitted, triedUpstreams);
             estimateMillis = destination.estimateMillis();
             context.metrics().recordExpectedQueueTime(admitted.service(), destination.waitMillis());
@@ -157,10 +166,7 @@
         triedUpstreams.add(endpoint.id());
         startAttempt(
                 new EndpointUpstream(
-                        endpoint,
-                        reservation,
-                        context.crashDetector().watch(endpoint, admitted.sharedSegments()),
-                        context.log()),
+                        endpoint, reservation, context.crashDetector().watch(endpoint, crashSuspects), context.log()),
                 headers);
     }
 
@@ -374,7 +380,7 @@
                 && remaining > 0
                 && RetryPolicy.isWorthwhile(timeLeft())
                 && context.retryBudgets().forService(admitted.service()).isAvailable()
-                && !context.quarantineCheck().isHeld(admitted)
+                && !context.quarantineCheck().isHeld(crashSuspects)
                 && context.router().hasDestination(admitted, triedUpstreams)) {
             currentAttempt.abandonStalled();
         }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CrashDetector.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CrashDetector.java
@@ -60,7 +60,7 @@
     /**
      * Watches an attempt at {@code endpoint}.
      *
-     * @param segments ids of the prompt segments that other requests may share; empty if there are none
+     * @param segments ids of the prompt segments that other requests may share, and the fingerprint of the request
      */
     Watch watch(EndpointHandle endpoint, List<String> segments) {
         return new Watch(endpoint, segments);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/QuarantineCheck.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/QuarantineCheck.java
@@ -8,7 +8,7 @@
 import org.toucanlane.policy.quarantine.SegmentQuarantine;
 
 /**
- * Refuses requests whose prompts the quarantine holds back.
+ * Refuses requests that the quarantine holds back, for themselves or for a segment of their prompts.
  *
  * <p>Invariant: {@link #check} is called once for each attempt, since an attempt may be a trial of the quarantine. Used
  * on the host's event loop only.
@@ -24,24 +24,23 @@
     /**
      * Checks a request that is about to be sent.
      *
-     * @throws CallRefusedException if endpoints have crashed on a segment of its prompt
+     * @param suspects ids of its prompt segments that other requests may share, and its fingerprint
+     * @throws CallRefusedException if endpoints have crashed on one of these
      */
-    void check(AdmittedCall call) throws CallRefusedException {
-        List<String> segments = call.sharedSegments();
-        Optional<Duration> holdTime =
-                segments.isEmpty() ? Optional.empty() : quarantine.holdTime(segments, System.nanoTime());
+    void check(List<String> suspects) throws CallRefusedException {
+        Optional<Duration> holdTime = quarantine.holdTime(suspects, System.nanoTime());
         if (holdTime.isPresent()) {
             throw new CallRefusedException(
                     ErrorKind.PROMPT_QUARANTINED,
                     holdTime.get(),
                     "held back for " + holdTime.get().toMillis()
-                            + " ms, since endpoints crashed on a segment of the prompt: "
-                            + String.join(", ", segments));
+                            + " ms, since endpoints crashed on the request or on a segment of its prompt: "
+                            + String.join(", ", suspects));
         }
     }
 
     /** Returns whether {@link #check} would refuse the request now. */
-    boolean isHeld(AdmittedCall call) {
-        return quarantine.isHeld(call.sharedSegments(), System.nanoTime());
+    boolean isHeld(List<String> suspects) {
+        return quarantine.isHeld(suspects, System.nanoTime());
     }
 }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/CrashEvidence.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/CrashEvidence.java
@@ -32,7 +32,7 @@
      * @param endpoint tag of the endpoint
      * @param age time since the crash
      * @param suspects requests whose answer had not begun, or had only just begun; of each one the ids of its prompt
-     *     segments except the last
+     *     segments except the last, and its fingerprint
      */
     public record Crash(int endpoint, Duration age, List<List<String>> suspects) {
 
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/LoggedCrash.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/LoggedCrash.java
@@ -79,16 +79,18 @@
         return added;
     }
 
-    /** Returns the order in which suspects are kept. */
-    private Comparator<List<String>> preference() {
+    /** Returns the order in which suspects of a crash of {@code endpoint} are kept. */
+    static Comparator<List<String>> preference(int endpoint) {
         return Comparator.<List<String>>comparingLong(suspect -> weight(endpoint, String.join(" ", suspect)))
                 .thenComparing(List::toString);
     }
 
     private void dropSurplus() {
         if (suspects.size() > MAX_SUSPECTS) {
-            Set<List<String>> kept =
-                    suspects.stream().sorted(preference()).limit(MAX_SUSPECTS).collect(Collectors.toSet());
+            Set<List<String>> kept = suspects.stream()
+                    .sorted(preference(endpoint))
+                    .limit(MAX_SUSPECTS)
+                    .collect(Collectors.toSet());
             suspects.retainAll(kept);
         }
     }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/SegmentQuarantine.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/SegmentQuarantine.java
@@ -4,12 +4,15 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.toucanlane.coordination.hash.RendezvousHash;
 
 /**
@@ -20,6 +23,10 @@
  * Retries and further requests take one endpoint after the other, with all streams that run there. No host alone sees
  * enough crashes to tell the segment from those that stand beside it, so hosts exchange what they see.
  *
+ * <p>The whole request counts as one more segment, the last one, by a fingerprint that is equal for all requests with the
+ * same content: endpoints may crash on a request that is repeated, whatever its prompt, and on one without a prompt. A
+ * request that is sent once only can't be held back.
+ *
  * <p>A segment is in quarantine while it is a suspect in several crash events on different endpoints and has not survived
  * since the first of them. Of the segments that account for the same crashes only one is in quarantine. The quarantine
  * expires after a time that grows with each trial that fails. Then one prompt is admitted as a trial, whose crash renews
@@ -60,7 +67,7 @@
      *
      * @param endpoint tag of the endpoint
      * @param suspects requests whose answer had not begun, or had only just begun, the likeliest cause first; of each one
-     *     the ids of its prompt segments except the last
+     *     the ids of its prompt segments except the last, and its fingerprint
      */
     public void recordCrash(int endpoint, List<List<String>> suspects, long now) {
         addCrash(endpoint, suspects, now, now, MAX_OWN_SUSPECTS);
@@ -145,7 +152,7 @@
             log.sort();
             attributionsStale = true;
         }
-        Set<List<String>> added = log.addSuspects(crash, likeliest(suspects, maxSuspects));
+        Set<List<String>> added = log.addSuspects(crash, likeliest(endpoint, suspects, maxSuspects));
         if (added.isEmpty()) {
             return false;
         }
@@ -157,15 +164,34 @@
         return log.contains(crash);
     }
 
-    /** Returns the suspects to keep: first those with a segment that is not known to survive, else in their order. */
-    private List<List<String>> likeliest(List<List<String>> suspects, int max) {
-        return suspects.size() <= max
-                ? suspects
-                : suspects.stream()
-                        .distinct()
-                        .sorted(Comparator.comparing(suspect -> suspect.stream().noneMatch(survivals::isUnknown)))
-                        .limit(max)
-                        .toList();
+    /**
+     * Returns the suspects to keep. First come those with a segment that is a suspect of another crash and not known to
+     * survive. Half of the rest are those with the most segments that are not known to survive. The others are a sample
+     * that differs between endpoints, since a request that comes again may have only segments that survive in others.
+     */
+    private List<List<String>> likeliest(int endpoint, List<List<String>> suspects, int max) {
+        if (suspects.size() <= max) {
+            return suspects;
+        }
+        Set<List<String>> kept = suspects.stream()
+                .filter(suspect -> unknown(suspect).anyMatch(log::involves))
+                .limit(max)
+                .collect(Collectors.toCollection(LinkedHashSet::new));
+        int half = (max - kept.size()) / 2;
+        suspects.stream()
+                .filter(suspect -> !kept.contains(suspect))
+                .sorted(Comparator.comparing(suspect -> -unknown(suspect).count()))
+                .limit(half)
+                .forEach(kept::add);
+        return Stream.concat(kept.stream(), suspects.stream().sorted(LoggedCrash.preference(endpoint)))
+                .distinct()
+                .limit(max)
+                .toList();
+    }
+
+    /** Returns those segments that are not known to survive. */
+    private Stream<String> unknown(List<String> segments) {
+        return segments.stream().filter(survivals::isUnknown);
     }
 
     /** Returns whether the survival is the first one of a suspect, or clears a suspect of another crash. */
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/Survivals.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/quarantine/Survivals.java
@@ -14,7 +14,7 @@
  */
 final class Survivals {
 
-    static final int MAX_RECENT = 8_192;
+    static final int MAX_RECENT = 16_384;
 
     private final Map<String, Long> recent = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/quarantine/FleetQuarantineTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/quarantine/FleetQuarantineTest.java
@@ -61,6 +61,41 @@
         assertSoundRequestsGoOn(fleet);
     }
 
+    /** A request that came again crashed 21 endpoints, and segments of others were held back for it. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void keepsARequestThatComesAgainFromTheEndpoints(long seed) {
+        FleetSimulation fleet = new FleetSimulation(smallFleet(0.05, seed));
+        fleet.crashOnRequest();
+        fleet.run(26 * SECOND);
+        assertCrashingRequestsEnd(fleet);
+        assertThat(fleet.crashingSendsAfter(fleet.crashes.get(2) + 5 * SECOND)).isLessThanOrEqualTo(3);
+        assertSoundRequestsGoOn(fleet);
+    }
+
+    /** Each of three hosts has about 15 requests under way that begin at the endpoint that crashes. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void findsTheRequestThatComesAgainAmongManySuspects(long seed) {
+        FleetSimulation fleet = new FleetSimulation(new Settings(3, ENDPOINTS, 2, 3_900, 0.000_4, seed));
+        fleet.crashOnRequest();
+        fleet.run(26 * SECOND);
+        assertCrashingRequestsEnd(fleet);
+        assertThat(fleet.crashingSendsAfter(fleet.crashes.get(2) + 5 * SECOND)).isLessThanOrEqualTo(3);
+        assertSoundRequestsGoOn(fleet);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void keepsARequestThatComesAgainFromALargeFleet(long seed) {
+        FleetSimulation fleet = new FleetSimulation(new Settings(350, 800, 8, 150, 0.05, seed));
+        fleet.crashOnRequest();
+        fleet.run(11 * SECOND);
+        assertCrashingRequestsEnd(fleet);
+        assertThat(fleet.crashingSendsAfter(fleet.crashes.get(2) + 5 * SECOND)).isLessThanOrEqualTo(3);
+        assertSoundRequestsGoOn(fleet);
+    }
+
     /** Crashing and sound requests of a first segment are both rare, so that no sound one may end between crashes. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/quarantine/FleetSimulation.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/quarantine/FleetSimulation.java
@@ -17,7 +17,9 @@
  * Plays hosts that exchange crash evidence, and endpoints that crash on the segment {@link #CRASHING}.
  *
  * <p>Prompts begin with one of 59 segments of skewed popularity. Most go on with a segment of their session; the crashing
- * ones go on with {@link #CRASHING}. Deterministic for a seed.
+ * ones go on with {@link #CRASHING}. The last segment stands for the whole request and is new each time. Alternatively
+ * {@link #CRASHING} is a whole request that comes again, whose prompt has only segments that others share. Deterministic
+ * for a seed.
  */
 final class FleetSimulation {
 
@@ -93,6 +95,8 @@
     private final double[] lossAt;
 
     private boolean affinity;
+    private boolean crashOnRequest;
+    private long requestCount;
     private long crashingUntil = Long.MAX_VALUE;
 
     FleetSimulation(Settings settings) {
@@ -126,6 +130,11 @@
         affinity = true;
     }
 
+    /** Makes {@link #CRASHING} a whole request. */
+    void crashOnRequest() {
+        crashOnRequest = true;
+    }
+
     void stopCrashingRequestsAt(long time) {
         crashingUntil = time;
     }
@@ -198,8 +207,13 @@
 
     private void arrive() {
         boolean crashing = now < crashingUntil && random.nextDouble() < settings.crashingShare();
-        String first = firstSegment(pickFirst());
-        List<String> segments = List.of(first, crashing ? CRASHING : "session-" + sessions++);
+        List<String> segments;
+        if (crashing && crashOnRequest) {
+            segments = List.of(firstSegment(0), CRASHING);
+        } else {
+            String second = crashing ? CRASHING : "session-" + sessions++;
+            segments = List.of(firstSegment(pickFirst()), second, "request-" + requestCount++);
+        }
         boolean held = attempt(random.nextInt(settings.hosts()), segments, 1);
         requests.add(new Request(segments, crashing, now, held));
         double gap = -Math.log(1 - random.nextDouble()) / settings.requestsPerSecond();
