Give the request limit of an endpoint a class of its own

EndpointHandle had grown by three fields and four methods for it. RequestLimit holds them; behaviour stays.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointUpstream.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.toucanlane.edge.fleet.EndpointHandle;
+import org.toucanlane.edge.fleet.RequestLimit;
 import org.toucanlane.edge.fleet.Reservation;
 import org.toucanlane.edge.http.ExchangeListener;
 import org.toucanlane.edge.telemetry.DecisionLog;
@@ -83,9 +84,10 @@
 
     @Override
     public void recordRequestLimit(OptionalDouble requestsPerSecond) {
-        OptionalDouble before = endpoint.requestLimit();
-        endpoint.updateRequestLimit(requestsPerSecond, createdAt, System.nanoTime());
-        OptionalDouble after = endpoint.requestLimit();
+        RequestLimit limit = endpoint.requestLimit();
+        OptionalDouble before = limit.named();
+        limit.update(requestsPerSecond, createdAt, System.nanoTime());
+        OptionalDouble after = limit.named();
         if (!after.equals(before)) {
             log.stateChange(
                     "endpoint_request_limit",
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -17,6 +17,7 @@
 import org.toucanlane.edge.fleet.Fleet;
 import org.toucanlane.edge.fleet.HostHandle;
 import org.toucanlane.edge.fleet.HostRecord;
+import org.toucanlane.edge.fleet.RequestLimit;
 import org.toucanlane.policy.admission.AdmissionLimit;
 import org.toucanlane.policy.admission.LoadShedder;
 import org.toucanlane.policy.placement.EndpointPlacer;
@@ -261,10 +262,9 @@
 
     /** Returns the time until the limit that {@code endpoint} has named allows a request; zero if it does now. */
     private Duration limitDelay(EndpointHandle endpoint, long now) {
-        OptionalDouble rate = endpoint.allowedRate();
-        return rate.isEmpty()
-                ? Duration.ZERO
-                : endpoint.limitDelay(shareOf(endpoint, rate.getAsDouble()), now, timeOfDay());
+        RequestLimit limit = endpoint.requestLimit();
+        OptionalDouble rate = limit.allowedRate();
+        return rate.isEmpty() ? Duration.ZERO : limit.delay(shareOf(endpoint, rate.getAsDouble()), now, timeOfDay());
     }
 
     private static Duration timeOfDay() {
@@ -277,8 +277,8 @@
         if (endpoint.isCold(now)) {
             coldRate(endpoint).ifPresent(rate -> endpoint.recordColdRequest(rate, now));
         }
-        endpoint.allowedRate()
-                .ifPresent(rate -> endpoint.recordLimitedRequest(shareOf(endpoint, rate), now, timeOfDay()));
+        RequestLimit limit = endpoint.requestLimit();
+        limit.allowedRate().ifPresent(rate -> limit.recordRequest(shareOf(endpoint, rate), now, timeOfDay()));
     }
 
     /** Returns the endpoint with this name, or empty if {@code name} is unknown or the name of a host. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
@@ -6,14 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.toucanlane.coordination.hash.RendezvousHash;
 import org.toucanlane.domain.serving.EndpointRegistration;
 import org.toucanlane.edge.http.ChannelPool;
 import org.toucanlane.policy.health.EndpointHealth;
 import org.toucanlane.policy.placement.EndpointLoad;
-import org.toucanlane.policy.placement.EndpointRateLimiter;
 import org.toucanlane.policy.placement.EndpointRateShare;
 
 /**
@@ -59,9 +57,6 @@
     /** Consecutive failures that eject an endpoint; shorter runs are common when only some of the requests fail. */
     private static final int EJECTION_THRESHOLD = 4;
 
-    /** Lowest rate of requests to an endpoint with a limit; without any, the host would not learn that it was lifted. */
-    private static final double MIN_REQUESTS_PER_SECOND = 0.25;
-
     private static final Duration BASE_EJECTION_TIME = Duration.ofMillis(800);
     private static final Duration MAX_EJECTION_TIME = Duration.ofSeconds(6);
 
@@ -71,6 +66,7 @@
     private final ChannelPool pool;
     private final long idHash;
     private final EndpointHealth health = new EndpointHealth(EJECTION_THRESHOLD, BASE_EJECTION_TIME, MAX_EJECTION_TIME);
+    private final RequestLimit requestLimit = new RequestLimit();
     private final Map<String, RemoteUsage> remoteUsageBySource = new LinkedHashMap<>();
     private final LinkedHashMap<String, Long> cachedSegments = new LinkedHashMap<>(64, 0.75f, true);
     private EndpointRegistration entry;
@@ -90,9 +86,6 @@
     private long lastColdSlot = -1;
     private long overloadedUntil = System.nanoTime();
     private long pausedUntil = System.nanoTime();
-    private OptionalDouble requestLimit = OptionalDouble.empty();
-    private EndpointRateLimiter rateLimiter = new EndpointRateLimiter(System.nanoTime());
-    private long requestLimitConfirmedAt = System.nanoTime();
     private boolean draining;
 
     EndpointHandle(EndpointRegistration entry, ChannelPool pool, long memoryTokens) {
@@ -259,47 +252,11 @@
         return Duration.ofNanos(Math.max(0, pausedUntil - now));
     }
 
-    /**
-     * Applies what a response says about the rate of requests. A response without a limit lifts it only if its request was
-     * sent after the last response with one, since responses on different connections may overtake each other.
-     *
-     * @param requestsPerSecond rate that the endpoint takes from all hosts together, or empty if it doesn't limit them
-     * @param sentAt monotonic time at which the request was sent
-     */
-    public void updateRequestLimit(OptionalDouble requestsPerSecond, long sentAt, long now) {
-        if (requestsPerSecond.isPresent()) {
-            if (requestLimit.isEmpty()) {
-                rateLimiter = new EndpointRateLimiter(now);
-            }
-            requestLimit = requestsPerSecond;
-            requestLimitConfirmedAt = now;
-        } else if (sentAt - requestLimitConfirmedAt > 0) {
-            requestLimit = OptionalDouble.empty();
-        }
-    }
-
-    /** Returns the requests per second that the endpoint takes from all hosts together, or empty if it has no limit. */
-    public OptionalDouble requestLimit() {
+    /** Returns the limit on the rate of requests that the endpoint has named. */
+    public RequestLimit requestLimit() {
         return requestLimit;
     }
 
-    /** Returns the rate at which all hosts together may send requests, or empty if it isn't limited. */
-    public OptionalDouble allowedRate() {
-        return requestLimit.isPresent()
-                ? OptionalDouble.of(Math.max(MIN_REQUESTS_PER_SECOND, requestLimit.getAsDouble()))
-                : requestLimit;
-    }
-
-    /** Returns the time until this host's share of {@link #allowedRate} allows a request; zero if it does now. */
-    public Duration limitDelay(EndpointRateShare share, long now, Duration timeOfDay) {
-        return rateLimiter.delay(share, now, timeOfDay);
-    }
-
-    /** Records a request that was sent while the rate was limited. */
-    public void recordLimitedRequest(EndpointRateShare share, long now, Duration timeOfDay) {
-        rateLimiter.recordRequest(share, now, timeOfDay);
-    }
-
     void recordSuccess(long now) {
         health.recordSuccess();
         setFailureRate(failureRate(now) * (1 - SMOOTHING_FACTOR), now);
@@ -365,7 +322,7 @@
      * unusable, since its low load would attract requests of other regions.
      */
     public EndpointUsage localUsage(long now) {
-        boolean usable = isUsable(now) && requestLimit.isEmpty();
+        boolean usable = isUsable(now) && requestLimit.named().isEmpty();
         return new EndpointUsage(running, pendingTokens, usedTokens, usable, slowness(now), 1);
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -274,7 +274,7 @@
                 "toucanlane.endpoints.limited",
                 "endpoints that limit the rate of requests",
                 () -> fleet.endpoints().stream()
-                        .filter(endpoint -> endpoint.requestLimit().isPresent())
+                        .filter(endpoint -> endpoint.requestLimit().named().isPresent())
                         .count());
         metrics.registerGauge(
                 "toucanlane.segments.quarantined",
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/RouterTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/RouterTest.java
@@ -66,14 +66,14 @@
         fleet.endpointChanged("e", Optional.of(TestFixtures.endpoint("e", "z")));
         EndpointHandle endpoint = fleet.endpoint("e").orElseThrow();
         long now = System.nanoTime();
-        endpoint.updateRequestLimit(OptionalDouble.of(0), now, now + 1);
+        endpoint.requestLimit().update(OptionalDouble.of(0), now, now + 1);
         assertThat(endpoint.localUsage(now + 1).usable()).isFalse();
         assertThat(endpoint.isUsable(now + 1)).isTrue();
-        endpoint.updateRequestLimit(OptionalDouble.empty(), now, now + 2);
-        assertThat(endpoint.requestLimit())
+        endpoint.requestLimit().update(OptionalDouble.empty(), now, now + 2);
+        assertThat(endpoint.requestLimit().named())
                 .as("the request was sent before the limit was known")
                 .hasValue(0);
-        endpoint.updateRequestLimit(OptionalDouble.empty(), now + 2, now + 3);
+        endpoint.requestLimit().update(OptionalDouble.empty(), now + 2, now + 3);
         assertThat(endpoint.localUsage(now + 3).usable()).isTrue();
     }
 
