Count hosts whose records have just gone among those that share a rate

Each host uses the rate of a limited or cold endpoint divided by the number of hosts of the region whose records are in the store. When the store comes back after an outage in which leases ran out, all these records may be missing for a moment: each host then takes the whole rate, in a large region dozens of times as much as allowed. A host now counts for five seconds after its record has gone. The price: the share of a host that has left is unused for that time. FleetTest covers it; RouterTest passes.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -16,7 +16,6 @@
 import org.toucanlane.edge.fleet.EndpointHandle;
 import org.toucanlane.edge.fleet.Fleet;
 import org.toucanlane.edge.fleet.HostHandle;
-import org.toucanlane.edge.fleet.HostRecord;
 import org.toucanlane.edge.fleet.RequestLimit;
 import org.toucanlane.policy.admission.AdmissionLimit;
 import org.toucanlane.policy.admission.LoadShedder;
@@ -233,7 +232,7 @@
 
     private boolean hasColdCapacity(EndpointHandle endpoint, long now) {
         return !endpoint.isCold(now)
-                || coldRate(endpoint)
+                || coldRate(endpoint, now)
                         .map(rate -> endpoint.hasColdCapacity(rate, now))
                         .orElse(true);
     }
@@ -242,21 +241,17 @@
      * Returns this host's share of the request rate allowed for a cold endpoint, or empty if its service has no such
      * limit.
      */
-    private Optional<EndpointRateShare> coldRate(EndpointHandle endpoint) {
+    private Optional<EndpointRateShare> coldRate(EndpointHandle endpoint, long now) {
         return fleet.configuration()
                 .flatMap(current -> current.service(endpoint.entry().service()))
                 .map(ServingService::coldStartRequestsPerSecond)
                 .filter(perSecond -> perSecond > 0)
-                .map(perSecond -> shareOf(endpoint, perSecond));
+                .map(perSecond -> shareOf(endpoint, perSecond, now));
     }
 
     /** Returns this host's share of a rate that {@code endpoint}, which is in this region, takes from all hosts. */
-    private EndpointRateShare shareOf(EndpointHandle endpoint, double requestsPerSecond) {
-        List<String> others = fleet.hosts().stream()
-                .map(HostHandle::entry)
-                .filter(host -> host.region().equals(region))
-                .map(HostRecord::name)
-                .toList();
+    private EndpointRateShare shareOf(EndpointHandle endpoint, double requestsPerSecond, long now) {
+        List<String> others = fleet.hostsSharingRates(region, now);
         return EndpointRateShare.of(hostName, others, endpoint.id(), requestsPerSecond);
     }
 
@@ -264,7 +259,9 @@
     private Duration limitDelay(EndpointHandle endpoint, long now) {
         RequestLimit limit = endpoint.requestLimit();
         OptionalDouble rate = limit.allowedRate();
-        return rate.isEmpty() ? Duration.ZERO : limit.delay(shareOf(endpoint, rate.getAsDouble()), now, timeOfDay());
+        return rate.isEmpty()
+                ? Duration.ZERO
+                : limit.delay(shareOf(endpoint, rate.getAsDouble(), now), now, timeOfDay());
     }
 
     private static Duration timeOfDay() {
@@ -275,10 +272,10 @@
     void recordSend(EndpointHandle endpoint) {
         long now = System.nanoTime();
         if (endpoint.isCold(now)) {
-            coldRate(endpoint).ifPresent(rate -> endpoint.recordColdRequest(rate, now));
+            coldRate(endpoint, now).ifPresent(rate -> endpoint.recordColdRequest(rate, now));
         }
         RequestLimit limit = endpoint.requestLimit();
-        limit.allowedRate().ifPresent(rate -> limit.recordRequest(shareOf(endpoint, rate), now, timeOfDay()));
+        limit.allowedRate().ifPresent(rate -> limit.recordRequest(shareOf(endpoint, rate, now), now, timeOfDay()));
     }
 
     /** Returns the endpoint with this name, or empty if {@code name} is unknown or the name of a host. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Fleet.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Fleet.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.toucanlane.coordination.snapshot.MonotonicReference;
 import org.toucanlane.coordination.snapshot.Versioned;
 import org.toucanlane.domain.serving.EndpointRegistration;
@@ -51,6 +52,12 @@
     /** Time after which a restored entry that is still in the store belongs to a process that runs. */
     private static final Duration RESTORED_ENTRY_EXPIRY = Duration.ofSeconds(8);
 
+    /**
+     * Time for which a host whose record is gone still counts among those that share a rate. After an outage of the store
+     * the records of all hosts may be missing for a moment, and each host would take the whole rate for itself.
+     */
+    private static final Duration DEPARTED_HOST_SHARE_TIME = Duration.ofSeconds(5);
+
     /** Time in which a configuration that is in force on another host must arrive here, too. */
     private static final Duration MAX_CONFIGURATION_LAG = Duration.ofSeconds(3);
 
@@ -82,6 +89,7 @@
     private final Map<String, EndpointHandle> endpoints = new HashMap<>();
     private final Map<String, List<EndpointHandle>> endpointsByService = new HashMap<>();
     private final Map<String, HostHandle> hosts = new HashMap<>();
+    private final Map<String, DepartedHost> departedHosts = new HashMap<>();
     private final Map<Integer, EndpointHandle> endpointsByTag = new HashMap<>();
     private final Map<Integer, HostHandle> hostsByTag = new HashMap<>();
     private final Set<String> evacuatedDataCentres = new HashSet<>();
@@ -355,6 +363,7 @@
             hostsByTag.remove(HostHandle.tagOf(name));
             existing.pool().close();
             endpoints.values().forEach(endpoint -> endpoint.removeRemoteUsage(name));
+            departedHosts.put(name, new DepartedHost(existing.entry().region(), System.nanoTime()));
             log.stateChange("host_removed", "host", name);
         }
         entry.ifPresent(record -> {
@@ -364,6 +373,7 @@
             HostHandle handle = new HostHandle(record, new ChannelPool(address, loop, settings));
             hosts.put(name, handle);
             hostsByTag.put(HostHandle.tagOf(name), handle);
+            departedHosts.remove(name);
             log.stateChange("host_added", "host", name, "region", record.region());
         });
     }
@@ -402,6 +412,22 @@
         return hosts.values();
     }
 
+    /**
+     * Returns the names of the other hosts of {@code region} that share the rates of its endpoints: those whose records are
+     * in the store, and those whose records were until shortly before monotonic time {@code now}.
+     */
+    public List<String> hostsSharingRates(String region, long now) {
+        departedHosts.values().removeIf(host -> now - host.time() > DEPARTED_HOST_SHARE_TIME.toNanos());
+        Stream<String> registered = hosts.values().stream()
+                .map(HostHandle::entry)
+                .filter(host -> host.region().equals(region))
+                .map(HostRecord::name);
+        Stream<String> departed = departedHosts.entrySet().stream()
+                .filter(host -> host.getValue().region().equals(region))
+                .map(Map.Entry::getKey);
+        return Stream.concat(registered, departed).toList();
+    }
+
     /** Returns another host by name, or empty if it has no record in the store. */
     public Optional<HostHandle> host(String name) {
         return Optional.ofNullable(hosts.get(name));
@@ -451,6 +477,14 @@
         }
     }
 
+    /**
+     * A host whose record is gone.
+     *
+     * @param region region of the host
+     * @param time monotonic time at which the record was removed
+     */
+    private record DepartedHost(String region, long time) {}
+
     /** Closes connections to endpoints and hosts that exceeded their idle timeout. */
     public void closeExpiredConnections() {
         endpoints.values().forEach(endpoint -> endpoint.pool().closeExpired());
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/fleet/FleetTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/fleet/FleetTest.java
@@ -197,4 +197,21 @@
         assertThat(fleet.isConfigurationOutdated(now + TimeUnit.SECONDS.toNanos(4)))
                 .isFalse();
     }
+
+    /** After an outage of the store all records were gone for a moment, and each host took whole rates for itself. */
+    @Test
+    void countsAHostAmongThoseThatShareARateForAWhileAfterItsRecordIsGone() {
+        fleet.hostChanged("h1", Optional.of(TestFixtures.host("h1", "south")));
+        fleet.hostChanged("h2", Optional.of(TestFixtures.host("h2", "north")));
+        fleet.hostChanged("h1", Optional.empty());
+        long now = System.nanoTime();
+        assertThat(fleet.hosts()).extracting(host -> host.entry().name()).containsExactly("h2");
+        assertThat(fleet.hostsSharingRates("south", now)).containsExactly("h1");
+        assertThat(fleet.hostsSharingRates("north", now)).containsExactly("h2");
+        fleet.hostChanged("h1", Optional.of(TestFixtures.host("h1", "south")));
+        assertThat(fleet.hostsSharingRates("south", now)).containsExactly("h1");
+        fleet.hostChanged("h1", Optional.empty());
+        assertThat(fleet.hostsSharingRates("south", now + TimeUnit.SECONDS.toNanos(60)))
+                .isEmpty();
+    }
 }
