Format fingerprints without a format string

The fingerprint of a request is computed for each request that is admitted; the hash has its own hexadecimal form, which needs no parsing of a format. RequestFingerprintTest and CrashDetectorTest pass. Not measured: the time is far below that of a request.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/RequestFingerprint.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/RequestFingerprint.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -24,6 +23,9 @@
     /** Distinguishes fingerprints from the ids of prompt segments, which are hexadecimal numbers. */
     private static final String PREFIX = "r";
 
+    /** Number of hexadecimal digits; makes chance collisions between the requests of a deployment negligible. */
+    private static final int DIGITS = 16;
+
     private static final byte SEPARATOR = 0;
 
     private RequestFingerprint() {}
@@ -42,7 +44,7 @@
         for (ByteBuffer part : body.nioBuffers()) {
             hasher.putBytes(part);
         }
-        return PREFIX + String.format(Locale.ROOT, "%016x", hasher.hash().asLong());
+        return PREFIX + hasher.hash().toString().substring(0, DIGITS);
     }
 
     private static void putText(Hasher hasher, String text) {
