Move what a crash may be due to out of Call

The record CrashSuspects holds the fingerprint and the ids that the quarantine compares; behaviour stays.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -1,6 +1,5 @@
 package org.toucanlane.edge.call;
 
-import com.google.common.collect.ImmutableList;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -52,11 +51,7 @@
     private final CallContext context;
     private final InboundRequest inbound;
     private final AdmittedCall admitted;
-    private final String fingerprint;
-
-    /** Segments of the prompt that other requests may share, and the fingerprint of the whole request. */
-    private final List<String> crashSuspects;
-
+    private final CrashSuspects crashSuspects;
     private final Set<String> triedUpstreams = new HashSet<>();
     private final List<Attempt> attempts = new ArrayList<>();
     private Attempt currentAttempt;
@@ -78,15 +73,7 @@
         this.inbound = inbound;
         this.admitted = admitted;
         this.endpointsLeft = admitted.endpointsLeft();
-        this.fingerprint = RequestFingerprint.of(
-                inbound.head().method(),
-                inbound.head().uri(),
-                admitted.account().map(ServingAccount::name),
-                inbound.body());
-        this.crashSuspects = ImmutableList.<String>builder()
-                .addAll(admitted.sharedSegments())
-                .add(fingerprint)
-                .build();
+        this.crashSuspects = CrashSuspects.of(inbound, admitted);
         admitted.head().lastEventId().ifPresent(this::resumeAfter);
     }
 
@@ -112,7 +99,7 @@
 
     private void sendToNextUpstream() {
         try {
-            context.quarantineCheck().check(crashSuspects);
+            context.quarantineCheck().check(crashSuspects.ids());
             Destination destination = context.router().choose(admitted, triedUpstreams);
             estimateMillis = destination.estimateMillis();
             context.metrics().recordExpectedQueueTime(admitted.service(), destination.waitMillis());
@@ -166,7 +153,10 @@
         triedUpstreams.add(endpoint.id());
         startAttempt(
                 new EndpointUpstream(
-                        endpoint, reservation, context.crashDetector().watch(endpoint, crashSuspects), context.log()),
+                        endpoint,
+                        reservation,
+                        context.crashDetector().watch(endpoint, crashSuspects.ids()),
+                        context.log()),
                 headers);
     }
 
@@ -329,7 +319,7 @@
                         "kind",
                         kind,
                         "fingerprint",
-                        fingerprint,
+                        crashSuspects.fingerprint(),
                         "cause",
                         cause);
         if (shouldRetry(kind)) {
@@ -380,7 +370,7 @@
                 && remaining > 0
                 && RetryPolicy.isWorthwhile(timeLeft())
                 && context.retryBudgets().forService(admitted.service()).isAvailable()
-                && !context.quarantineCheck().isHeld(crashSuspects)
+                && !context.quarantineCheck().isHeld(crashSuspects.ids())
                 && context.router().hasDestination(admitted, triedUpstreams)) {
             currentAttempt.abandonStalled();
         }
