--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/FreePortFinder.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/fleet/FreePortFinder.java
@@ -35,6 +35,17 @@
         throw new IOException("no unused loopback port found");
     }
 
+    /** Returns the first of two consecutive unused ports; the conditions are those of {@link #next}. */
+    public synchronized int nextPair() throws IOException {
+        int first = next();
+        int second = next();
+        while (second != first + 1) {
+            first = second;
+            second = next();
+        }
+        return first;
+    }
+
     private static boolean isFree(int port) {
         try (ServerSocket stream = new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
                 DatagramSocket datagram = new DatagramSocket(port, InetAddress.getLoopbackAddress())) {
