--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/quarantine/FleetQuarantineTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/quarantine/FleetQuarantineTest.java
@@ -65,35 +65,20 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
     void keepsARequestThatComesAgainFromTheEndpoints(long seed) {
-        FleetSimulation fleet = new FleetSimulation(smallFleet(0.05, seed));
-        fleet.crashOnRequest();
-        fleet.run(26 * SECOND);
-        assertCrashingRequestsEnd(fleet);
-        assertThat(fleet.crashingSendsAfter(fleet.crashes.get(2) + 5 * SECOND)).isLessThanOrEqualTo(3);
-        assertSoundRequestsGoOn(fleet);
+        assertRepeatedRequestEnds(smallFleet(0.05, seed), 26 * SECOND);
     }
 
     /** Each of three hosts has about 15 requests under way that begin at the endpoint that crashes. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void findsTheRequestThatComesAgainAmongManySuspects(long seed) {
-        FleetSimulation fleet = new FleetSimulation(new Settings(3, ENDPOINTS, 2, 3_900, 0.000_4, seed));
-        fleet.crashOnRequest();
-        fleet.run(26 * SECOND);
-        assertCrashingRequestsEnd(fleet);
-        assertThat(fleet.crashingSendsAfter(fleet.crashes.get(2) + 5 * SECOND)).isLessThanOrEqualTo(3);
-        assertSoundRequestsGoOn(fleet);
+        assertRepeatedRequestEnds(new Settings(3, ENDPOINTS, 2, 3_900, 0.000_4, seed), 26 * SECOND);
     }
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2})
     void keepsARequestThatComesAgainFromALargeFleet(long seed) {
-        FleetSimulation fleet = new FleetSimulation(new Settings(350, 800, 8, 150, 0.05, seed));
-        fleet.crashOnRequest();
-        fleet.run(11 * SECOND);
-        assertCrashingRequestsEnd(fleet);
-        assertThat(fleet.crashingSendsAfter(fleet.crashes.get(2) + 5 * SECOND)).isLessThanOrEqualTo(3);
-        assertSoundRequestsGoOn(fleet);
+        assertRepeatedRequestEnds(new Settings(350, 800, 8, 150, 0.05, seed), 11 * SECOND);
     }
 
     /** Crashing and sound requests of a first segment are both rare, so that no sound one may end between crashes. */
@@ -217,6 +202,15 @@
                         host -> assertThat(host.quarantined(fifth + 5 * SECOND)).contains(CRASHING));
     }
 
+    private static void assertRepeatedRequestEnds(Settings settings, long time) {
+        FleetSimulation fleet = new FleetSimulation(settings);
+        fleet.crashOnRequest();
+        fleet.run(time);
+        assertCrashingRequestsEnd(fleet);
+        assertThat(fleet.crashingSendsAfter(fleet.crashes.get(2) + 5 * SECOND)).isLessThanOrEqualTo(3);
+        assertSoundRequestsGoOn(fleet);
+    }
+
     private static void assertSoundRequestsGoOn(FleetSimulation fleet) {
         Predicate<Request> sound = request -> !request.crashing();
         long third = fleet.crashes.get(2);
