Say in the table of errors what a quarantined request is

A comment only: the error also stands for a request that crashes endpoints as a whole, as its line in docs/API.md says. No test concerns it.

--- a/toucanlane-domain/src/main/java/org/toucanlane/domain/outcome/ErrorKind.java
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/outcome/ErrorKind.java
@@ -36,7 +36,7 @@
     DEADLINE_TOO_CLOSE(503, ExecutionStatus.NOT_RUN, Retry.LATER),
     /** No eligible endpoint is available. */
     NO_ENDPOINT(503, ExecutionStatus.NOT_RUN, Retry.LATER),
-    /** The prompt has a segment on which endpoints have crashed. */
+    /** Endpoints have crashed on the request or on a segment of its prompt. */
     PROMPT_QUARANTINED(503, ExecutionStatus.NOT_RUN, Retry.LATER),
     /** No data centre permitted by the residency rules is reachable. */
     RESIDENCY_UNREACHABLE(503, ExecutionStatus.NOT_RUN, Retry.LATER),
