--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/fleet/FleetTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/fleet/FleetTest.java
@@ -198,7 +198,7 @@
                 .isFalse();
     }
 
-    /** After an outage of the store all records were gone for a moment, and each host took whole rates for itself. */
+    /** Guards against hosts that each take a whole rate while the records of the others are missing after an outage. */
     @Test
     void countsAHostAmongThoseThatShareARateForAWhileAfterItsRecordIsGone() {
         fleet.hostChanged("h1", Optional.of(TestFixtures.host("h1", "south")));
