--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallContext.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallContext.java
@@ -22,7 +22,7 @@
  * @param limiter account limits
  * @param retryBudgets retry budgets by service
  * @param promptSentListener receives each endpoint and the prompt parts sent to it
- * @param quarantineCheck refuses prompts that are held back
+ * @param quarantineCheck refuses requests that are held back
  * @param crashDetector detects crashes of endpoints
  * @param responseBuffers memory for incomplete responses
  * @param repeatableCalls requests in progress that may be sent again if they stall
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -175,7 +175,7 @@
      * @param fleet configuration, endpoints and hosts
      * @param freshness whether the configuration and the keys are recent enough to rely on
      * @param limiter account limits
-     * @param quarantine prompt segments that must not be sent to endpoints
+     * @param quarantine prompt segments and whole requests that must not be sent to endpoints
      * @param responsive tests whether the reports of another host arrive on time
      */
     public record HostState(
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CrashDetector.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CrashDetector.java
@@ -224,13 +224,13 @@
          *
          * @param endpoint tag of the endpoint
          * @param suspects requests that may have caused it, the likeliest first; of each one the ids of its shared
-         *     segments
+         *     segments, and its fingerprint
          * @param time time of the crash
          */
         void onCrash(int endpoint, List<List<String>> suspects, long time);
     }
 
-    /** Receives the shared segments of prompts that were answered without a crash. */
+    /** Receives the shared segments and the fingerprint of each request that was answered without a crash. */
     interface SurvivalListener {
 
         /** Called when an answer is complete, or has gone on for {@link SegmentQuarantine#SURVIVAL_TIME}. */
