--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -14,7 +14,8 @@
 /** The frame of a case: the record, the processes of the system and the exit status. */
 final class Kit {
 
-    static final int BROKEN = 1;
+    /** The status 1 would also be that of a Java program that does not start; run-case.sh translates. */
+    static final int BROKEN = 11;
     static final int HELD = 0;
     static final int COULD_NOT_RUN = 2;
 
@@ -43,6 +44,7 @@
         });
         limit.setDaemon(true);
         limit.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(Kit::closeAll));
         int status = COULD_NOT_RUN;
         try {
             boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -56,6 +58,12 @@
     }
 
     private static synchronized void finish(int status) {
+        closeAll();
+        note(status == BROKEN ? "RESULT: broken" : status == HELD ? "RESULT: held" : "RESULT: could not run");
+        Runtime.getRuntime().halt(status);
+    }
+
+    private static void closeAll() {
         for (int i = OPEN.size() - 1; i >= 0; i--) {
             try {
                 OPEN.get(i).close();
@@ -63,8 +71,6 @@
                 note("not closed: " + e);
             }
         }
-        note(status == BROKEN ? "RESULT: broken" : status == HELD ? "RESULT: held" : "RESULT: could not run");
-        Runtime.getRuntime().halt(status);
     }
 
     static <T extends Closeable> T closing(T resource) {
@@ -137,6 +143,9 @@
         private final Path log;
         private Process process;
 
+        /** Descriptors that the process may have; 0 for as many as this one. */
+        int maxFds;
+
         Host(String name, int number, String zone, List<String> zones, String storeAddress, String... further)
                 throws IOException {
             this.name = name;
@@ -203,8 +212,12 @@
                     .filter(line -> line.startsWith("run = "))
                     .findFirst()
                     .orElseThrow();
-            ProcessBuilder builder = new ProcessBuilder(
-                    run.substring(run.indexOf('"') + 1, run.lastIndexOf('"')).split(" "));
+            List<String> command = new ArrayList<>();
+            if (maxFds > 0) {
+                command.addAll(List.of("bash", "-c", "ulimit -n " + maxFds + " && exec \"$@\"", "limited"));
+            }
+            command.addAll(List.of(run.substring(run.indexOf('"') + 1, run.lastIndexOf('"')).split(" ")));
+            ProcessBuilder builder = new ProcessBuilder(command);
             builder.directory(root.toFile());
             builder.environment().put("TOUCANLANE_NODE_FILE", settings.toString());
             process = builder.redirectErrorStream(true)
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -8,7 +8,14 @@
   exit 2
 fi
 work="$(mktemp -d)"
-java -cp "$here/build" -Drecord="$folder/record.txt" -Dwork="$work" -Droot="$here/.." "$2"
+java -cp "$here/build" -Drecord="$folder/record.txt" -Dwork="$work" -Droot="$here/.." "$2" &
+pid=$!
+trap 'kill "$pid"' TERM INT
+wait "$pid"
 status=$?
 if [ -n "${KEEP:-}" ]; then echo "logs: $work"; else rm -rf "$work"; fi
-exit "$status"
+case "$status" in
+  0) exit 0 ;;
+  11) exit 1 ;;
+  *) exit 2 ;;
+esac
