Review, case 4: a stopping host breaks off streams of a sound endpoint

A script shows that a host which has got SIGTERM gives up a resumable stream whose endpoint pauses for 1.5 s, is refused by the only other endpoint, and then breaks the caller's stream off.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" 4 MissedChanges
+exec "$(dirname "$0")/../run-case.sh" 4 SilentRunner
