Keep following the store after an entry that no reader expects

Cause: HostAndPort.getPort throws IllegalStateException, which PlatformDocuments doesn't catch. It left the callback of the mirror's watch, the only place that sends the next one, and was kept by a future that nobody holds. Ruled out: blocking in a host name's look-up (requests without a key were not late), a configuration that failed later (no configuration_in_force was logged).

Now the reader rejects them all; and whatever a listener throws is logged, costs that one value, and ends neither the chain of calls to the store nor a periodic task.

--- a/toucanlane-domain/src/main/java/org/toucanlane/domain/serving/EndpointRegistration.java
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/serving/EndpointRegistration.java
@@ -1,5 +1,6 @@
 package org.toucanlane.domain.serving;
 
+import com.google.common.base.CharMatcher;
 import com.google.common.base.Preconditions;
 import java.time.Duration;
 import java.util.Optional;
@@ -32,10 +33,28 @@
         OptionalLong startedAtMillis,
         Optional<String> model) {
 
-    /** Creates a registration. */
+    /** Maximum remaining cold-start time; far longer than an engine takes to start. */
+    private static final Duration MAX_COLD_START = Duration.ofDays(1);
+
+    /** Characters of an id, which is sent as the value of a header. */
+    private static final CharMatcher ID_CHARACTERS = CharMatcher.inRange('!', '~');
+
+    /**
+     * Creates a registration.
+     *
+     * @throws IllegalArgumentException if a value is out of range, or the id isn't a word of visible ASCII characters
+     */
     public EndpointRegistration {
+        Preconditions.checkArgument(
+                !id.isEmpty() && ID_CHARACTERS.matchesAllOf(id),
+                "id is not a word of visible ASCII characters: %s",
+                id);
         Preconditions.checkArgument(port > 0 && port < 65536, "port out of range: %s", port);
         Preconditions.checkArgument(slots > 0, "slots must be positive: %s", slots);
+        Preconditions.checkArgument(
+                !remainingColdStart.isNegative() && remainingColdStart.compareTo(MAX_COLD_START) <= 0,
+                "remaining cold-start time out of range: %s",
+                remainingColdStart);
     }
 
     /** Returns whether {@code other} was published by the same endpoint process. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
@@ -130,7 +130,10 @@
         }
         channel = bound.channel();
         loop.scheduleAtFixedRate(
-                this::runRound, ROUND_INTERVAL.toMillis(), ROUND_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+                log.logFailures("report round", this::runRound),
+                ROUND_INTERVAL.toMillis(),
+                ROUND_INTERVAL.toMillis(),
+                TimeUnit.MILLISECONDS);
     }
 
     private void runRound() {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -195,7 +195,7 @@
         });
         loop.execute(mirror::start);
         loop.scheduleAtFixedRate(
-                this::runMaintenance,
+                log.logFailures("maintenance", this::runMaintenance),
                 MAINTENANCE_INTERVAL.toMillis(),
                 MAINTENANCE_INTERVAL.toMillis(),
                 TimeUnit.MILLISECONDS);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import org.toucanlane.coordination.store.AsyncStore;
 import org.toucanlane.coordination.store.AsyncStoreException;
 import org.toucanlane.coordination.store.StoreChanges;
@@ -34,8 +35,10 @@
  * <p>When the store begins a new era, having lost its last writes, the lease ends and all keys are read again. Values
  * that the restored store contains are reported, but keys that it lacks stay in the copy for the settling time of
  * {@link EraTracker}, since their writers may write them again. Until then reads do not renew the lease. A peer's status
- * from an earlier era is ignored; one from a later era begins that era here too. Not thread-safe: confined to one event
- * loop.
+ * from an earlier era is ignored; one from a later era begins that era here too.
+ *
+ * <p>Invariant: once started, there is always a call in progress or one that is scheduled, whatever the listener throws.
+ * Not thread-safe: confined to one event loop.
  */
 public final class StoreMirror {
 
@@ -183,10 +186,7 @@
             String after,
             Set<String> seen,
             Optional<StoreRevision> firstRevision) {
-        store.range("", after).whenComplete((page, failure) -> {
-            if (expectedGeneration != generation) {
-                return;
-            }
+        store.range("", after).whenComplete(ifCurrent(expectedGeneration, (page, failure) -> {
             if (failure != null) {
                 markUnreachable(failure);
                 retry(expectedGeneration, this::start);
@@ -205,7 +205,25 @@
             } else {
                 synced(expectedGeneration, sentAt, seen, from);
             }
-        });
+        }));
+    }
+
+    /**
+     * Returns {@code handler} for the response to a call, which ignores responses to superseded calls. If it throws, all
+     * keys are read again after a delay, since nothing else would send another call.
+     */
+    private <T> BiConsumer<T, Throwable> ifCurrent(long expectedGeneration, BiConsumer<T, Throwable> handler) {
+        return (response, failure) -> {
+            if (expectedGeneration != generation) {
+                return;
+            }
+            try {
+                handler.accept(response, failure);
+            } catch (RuntimeException e) {
+                log.stateChange("store_response_failed", "revision", revision.number(), "reason", String.valueOf(e));
+                retry(generation, this::start);
+            }
+        };
     }
 
     private void applyPage(StorePage page, Set<String> seen) {
@@ -243,10 +261,7 @@
 
     private void watch(long expectedGeneration, Duration wait) {
         long sentAt = freshness.monotonicNanos();
-        store.watch("", revision.number(), wait).whenComplete((changes, failure) -> {
-            if (expectedGeneration != generation) {
-                return;
-            }
+        store.watch("", revision.number(), wait).whenComplete(ifCurrent(expectedGeneration, (changes, failure) -> {
             if (failure == null && changes.revision().era() != eras.era()) {
                 // Another host has reported a newer era than this response.
                 retry(expectedGeneration, this::start);
@@ -262,7 +277,7 @@
                 markUnreachable(failure);
                 retry(expectedGeneration, () -> continueWatching(expectedGeneration));
             }
-        });
+        }));
     }
 
     /**
@@ -347,7 +362,7 @@
         // A restored value that was known before the restoration is not a change.
         boolean restored = known != null && known.revision().era() < eras.era() && known.fingerprint() == fingerprint;
         if (!restored) {
-            listener.changed(item.key(), Optional.of(item.value()));
+            report(item.key(), Optional.of(item.value()));
         }
         if (item.key().equals(eraKey)) {
             applyEraRecord(item.value());
@@ -378,7 +393,16 @@
 
     private void remove(String key) {
         if (knownItems.remove(key) != null) {
-            listener.changed(key, Optional.empty());
+            report(key, Optional.empty());
+        }
+    }
+
+    /** Reports a change. A value on which the listener fails must not keep other values from being applied. */
+    private void report(String key, Optional<byte[]> value) {
+        try {
+            listener.changed(key, value);
+        } catch (RuntimeException e) {
+            log.stateChange("store_value_failed", "key", key, "reason", String.valueOf(e));
         }
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/telemetry/DecisionLog.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/telemetry/DecisionLog.java
@@ -47,6 +47,20 @@
         write(kind, fields);
     }
 
+    /**
+     * Returns a task that runs {@code task} and logs an exception that it throws, for use as a periodic task, which would
+     * otherwise not be run again.
+     */
+    public Runnable logFailures(String name, Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                stateChange("task_failed", "task", name, "reason", String.valueOf(e));
+            }
+        };
+    }
+
     private void write(String kind, Object... fields) {
         if (!logger.isInfoEnabled()) {
             return;
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/state/StoreMirrorTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/state/StoreMirrorTest.java
@@ -29,12 +29,16 @@
 
 class StoreMirrorTest {
 
+    private static final String REJECTED_KEY = "rejected";
+
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final ScriptedStore store = new ScriptedStore();
     private final Map<String, String> copy = new TreeMap<>();
     private long now = Duration.ofHours(1).toNanos();
     private final FreshnessLease freshness = new FreshnessLease(() -> now, this::wallMillis, Duration.ofSeconds(30));
     private int unreachableCount;
+    private int syncCount;
+    private boolean failOnSync;
     private StoreMirror mirror;
 
     @BeforeEach
@@ -42,13 +46,19 @@
         StoreMirror.Listener listener = new StoreMirror.Listener() {
             @Override
             public void changed(String key, Optional<byte[]> value) {
+                if (key.equals(REJECTED_KEY)) {
+                    throw new IllegalStateException("rejected");
+                }
                 value.ifPresentOrElse(
                         bytes -> copy.put(key, new String(bytes, StandardCharsets.UTF_8)), () -> copy.remove(key));
             }
 
             @Override
             public void synced() {
-                // Each change is delivered separately.
+                syncCount++;
+                if (failOnSync) {
+                    throw new IllegalStateException("rejected");
+                }
             }
 
             @Override
@@ -110,6 +120,35 @@
         assertThat(store.watchedFrom()).isEqualTo(5);
     }
 
+    /** An entry that no reader expected ended all updates of a host: see docs/incidents/0005. */
+    @Test
+    void goesOnWatchingAfterAValueOnWhichTheListenerFails() {
+        store.page(false, 5, item("a", "1", 3), item(REJECTED_KEY, "x", 4), item("s", "1", 5));
+        assertThat(copy).isEqualTo(Map.of("a", "1", "s", "1"));
+        store.changes(8, put("b", "2", 6), put(REJECTED_KEY, "y", 7), put("t", "3", 8));
+        assertThat(copy).isEqualTo(Map.of("a", "1", "b", "2", "s", "1", "t", "3"));
+        advance();
+        assertThat(store.watchedFrom()).isEqualTo(8);
+        store.changes(9, removed(REJECTED_KEY, 9));
+        advance();
+        assertThat(store.watchedFrom()).isEqualTo(9);
+        assertThat(freshness.isValid()).isTrue();
+    }
+
+    /** A failure while a response was handled ended all updates of a host: see docs/incidents/0005. */
+    @Test
+    void readsTheStoreAgainAfterAResponseWhoseHandlingFails() {
+        failOnSync = true;
+        store.page(false, 5, item("a", "1", 3));
+        assertThat(store.pendingCalls()).as("calls during the retry delay").isZero();
+        failOnSync = false;
+        advance();
+        store.page(false, 6, item("a", "1", 3), item("b", "2", 6));
+        assertThat(syncCount).isEqualTo(2);
+        assertThat(copy).isEqualTo(Map.of("a", "1", "b", "2"));
+        assertThat(store.watchedFrom()).isEqualTo(6);
+    }
+
     @Test
     void ignoresTheResponseToASupersededCall() {
         store.page(false, 5);
