Keep a silent attempt until another upstream answers

Cause: after 0.9 s without an event the host cancelled the attempt, then asked another endpoint; that one was full and refused, and nothing was left to go on with. Ruled out: the end of the grace period (no aborted requests, the loss comes 4 s earlier), and that it needs a refusal or a SIGTERM: each of eleven ways in which the other endpoint can fail lost a stream or a plain request, also without a SIGTERM.

Now the silent attempt goes on beside its alternative. The first that sends new events or a usable response wins, and the other is cancelled at that moment; an alternative that fails changes nothing. It is charged to the retry budget as before and counts towards the endpoints that a route allows.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
@@ -175,7 +175,7 @@
             failInvalidResponse(new IOException("successful response lacks the seal of the endpoint"));
         } else {
             upstream.recordFirstResponse();
-            boolean failed = endpointResponse.status() >= 500;
+            boolean failed = endpointResponse.isServerError();
             if (endpointResponse.isSuccess()) {
                 recordCompleteAnswer();
             }
@@ -243,25 +243,21 @@
 
     /** Cancels the attempt without notifying the listener. */
     void cancel() {
-        if (!done) {
-            ClientCall activeCall = call;
-            finish(Reservation.Outcome.CANCELLED);
-            if (activeCall != null) {
-                activeCall.cancel();
-            }
-        }
+        cancel(Reservation.Outcome.CANCELLED);
     }
 
-    /** Cancels the attempt because no data arrives, and reports a failure to the listener. */
+    /** Cancels the attempt, whose upstream was silent for too long, without notifying the listener. */
     void abandonStalled() {
+        cancel(Reservation.Outcome.FAILED);
+    }
+
+    private void cancel(Reservation.Outcome outcome) {
         if (!done) {
             ClientCall activeCall = call;
-            finish(Reservation.Outcome.FAILED);
+            finish(outcome);
             if (activeCall != null) {
                 activeCall.cancel();
             }
-            listener.onAttemptFailed(
-                    RetryPolicy.FailureKind.MAY_HAVE_RUN, "upstream sent no data within the stall timeout");
         }
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -32,16 +31,17 @@
 import org.toucanlane.policy.placement.EnginePriority;
 import org.toucanlane.policy.placement.Placement;
 import org.toucanlane.policy.retry.AttemptTimeouts;
+import org.toucanlane.policy.retry.RetryBudget;
 import org.toucanlane.policy.retry.RetryPolicy;
 
 /**
  * Handles one request from its admission to the end of its response.
  *
- * <p>Invariants: at most one attempt is in progress at a time; the caller gets exactly one response; a response that
- * says "not run" is sent only if no attempt may have run, and no attempt is started after it. Used on the host's event
- * loop only.
+ * <p>Invariants: the caller gets exactly one response, from one attempt at a time; a second attempt beside a silent one is
+ * made only if the request may run more than once; a response that says "not run" is sent only if no attempt may have run,
+ * and no attempt is started after it. Used on the host's event loop only.
  */
-final class Call implements Responder.Listener, Attempt.Listener {
+final class Call implements Responder.Listener, AttemptGroup.Listener {
 
     /** Retry delay for a refusal without a better estimate; long enough for a few requests to end. */
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(400);
@@ -53,13 +53,12 @@
     private final AdmittedCall admitted;
     private final CrashSuspects crashSuspects;
     private final Set<String> triedUpstreams = new HashSet<>();
-    private final List<Attempt> attempts = new ArrayList<>();
-    private Attempt currentAttempt;
+    private final AttemptGroup attempts;
     private ScheduledFuture<?> deadlineTimer;
     private long lastEvent = -1;
-    private int endpointsLeft;
     private int refusals;
     private boolean mayHaveRun;
+    private boolean hostMayHaveRun;
     private boolean responseStarted;
     private boolean finished;
     private double estimateMillis;
@@ -72,9 +71,9 @@
         this.context = context;
         this.inbound = inbound;
         this.admitted = admitted;
-        this.endpointsLeft = admitted.endpointsLeft();
         this.crashSuspects = CrashSuspects.of(inbound, admitted);
         admitted.head().lastEventId().ifPresent(this::resumeAfter);
+        this.attempts = new AttemptGroup(lastEvent, this);
     }
 
     private void resumeAfter(String id) {
@@ -103,7 +102,7 @@
             Destination destination = context.router().choose(admitted, triedUpstreams);
             estimateMillis = destination.estimateMillis();
             context.metrics().recordExpectedQueueTime(admitted.service(), destination.waitMillis());
-            if (!attempts.isEmpty()) {
+            if (attempts.size() > 0) {
                 context.metrics().recordRetry(admitted.service());
             }
             if (destination instanceof Destination.Local local) {
@@ -112,7 +111,17 @@
                 send(remote);
             }
         } catch (CallRefusedException e) {
-            endWithoutAttempt(e);
+            if (attempts.isActive()) {
+                context.log()
+                        .decision(
+                                "alternative_refused",
+                                "request",
+                                admitted.head().id(),
+                                "cause",
+                                String.valueOf(e.getMessage()));
+            } else {
+                endWithoutAttempt(e);
+            }
         }
     }
 
@@ -138,7 +147,7 @@
                 new Reservation(endpoint, parts, placement.newTokens(), neededTokens, placement.estimateMillis());
         context.router().recordSend(endpoint);
         context.promptSentListener().accept(endpoint, parts);
-        if (attempts.isEmpty()) {
+        if (attempts.size() == 0) {
             context.retryBudgets().forService(admitted.service()).deposit();
         }
         EndpointRequest endpointRequest = new EndpointRequest(
@@ -168,7 +177,7 @@
                         context.hostName(),
                         admitted.account().map(account -> account.name()),
                         timeLeft(),
-                        endpointsLeft,
+                        endpointsLeft(),
                         admitted.configurationVersion(),
                         lastEventId()));
         triedUpstreams.add(remote.host().entry().name());
@@ -179,15 +188,21 @@
         return lastEvent < 0 ? Optional.empty() : Optional.of(Long.toString(lastEvent));
     }
 
+    /** Returns the number of further endpoints that may run the request, given the attempts that run or may have run. */
+    private int endpointsLeft() {
+        return hostMayHaveRun ? 0 : admitted.endpointsLeft() - (attempts.size() - refusals);
+    }
+
     private Duration timeLeft() {
         return Duration.ofNanos(Math.max(0, admitted.deadlineNanos() - System.nanoTime()));
     }
 
     private void startAttempt(Upstream upstream, HttpHeaders headers) {
-        Attempt attempt =
-                new Attempt(context.dialect(), admitted, upstream, lastEvent, context.responseBuffers(), this);
-        attempts.add(attempt);
-        currentAttempt = attempt;
+        if (!attempts.isActive()) {
+            lastProgressNanos = System.nanoTime();
+        }
+        Attempt attempt = attempts.add(listener ->
+                new Attempt(context.dialect(), admitted, upstream, lastEvent, context.responseBuffers(), listener));
         FullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 inbound.head().method(),
@@ -198,7 +213,6 @@
         if (inbound.body().isReadable() || inbound.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, inbound.body().readableBytes());
         }
-        lastProgressNanos = System.nanoTime();
         upstream.send(request, attempt);
     }
 
@@ -224,16 +238,15 @@
             response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
             inbound.responder().begin(response, events);
         }
-        if (!inbound.responder().isWritable() && currentAttempt != null) {
-            currentAttempt.setAutoRead(false);
+        if (!inbound.responder().isWritable()) {
+            attempts.setAutoRead(false);
         }
     }
 
     @Override
     public void onStreamComplete() {
         if (attempts.size() == 1) {
-            Optional<EndpointHandle> endpoint =
-                    context.router().endpoint(attempts.get(0).upstream().name());
+            Optional<EndpointHandle> endpoint = context.router().endpoint(attempts.upstreamName());
             admitted.route()
                     .maxEventGap()
                     .ifPresent(target -> endpoint.ifPresent(
@@ -246,8 +259,8 @@
     @Override
     public void onResponse(HttpResponse head, EndpointResponse endpointResponse, ByteBuf body) {
         mayHaveRun = true;
-        boolean failed = endpointResponse.status() >= 500;
-        if (failed && shouldRetry(RetryPolicy.FailureKind.MAY_HAVE_RUN)) {
+        hostMayHaveRun |= attempts.isViaHost();
+        if (endpointResponse.isServerError() && shouldRetry(RetryPolicy.FailureKind.MAY_HAVE_RUN)) {
             body.release();
             lastCause = "endpoint returned HTTP status " + endpointResponse.status();
             sendToNextUpstream();
@@ -259,7 +272,7 @@
                     "endpoint returned HTTP status " + endpointResponse.status() + " when a stream was to be resumed");
             return;
         }
-        if (impliesNotExecuted(endpointResponse.status())) {
+        if (endpointResponse.impliesNotExecuted()) {
             body.release();
             refuse(
                     ErrorKind.ENDPOINT_FAILED,
@@ -291,38 +304,40 @@
         return admitted.account().map(ServingAccount::name).orElse("");
     }
 
-    /**
-     * Returns whether callers read {@code status} as a statement that the request was not run. Only a host may make
-     * that statement on behalf of an endpoint.
-     */
-    private static boolean impliesNotExecuted(int status) {
-        return status == 408 || status == 421 || status == 429 || status == 503;
-    }
-
     @Override
     public void onRefused(CallRefusedException refusal) {
-        currentAttempt = null;
         endWithoutAttempt(refusal);
     }
 
     @Override
-    public void onAttemptFailed(RetryPolicy.FailureKind kind, String cause) {
+    public void onAttemptFailed(
+            Upstream upstream, RetryPolicy.FailureKind kind, String cause, boolean othersInProgress) {
         lastCause = cause;
-        mayHaveRun |= kind == RetryPolicy.FailureKind.MAY_HAVE_RUN;
         context.log()
                 .decision(
                         "attempt_failed",
                         "request",
                         admitted.head().id(),
                         "upstream",
-                        currentAttempt == null ? "" : currentAttempt.upstream().name(),
+                        upstream.name(),
                         "kind",
                         kind,
                         "fingerprint",
                         crashSuspects.fingerprint(),
                         "cause",
                         cause);
-        if (shouldRetry(kind)) {
+        boolean notRun = kind != RetryPolicy.FailureKind.MAY_HAVE_RUN;
+        mayHaveRun |= !notRun;
+        hostMayHaveRun |= !notRun && upstream.isHost();
+        if (notRun && upstream.isHost()) {
+            context.router().recordRefusal(upstream.name(), admitted.service());
+        }
+        boolean retry = !othersInProgress && shouldRetry(kind);
+        refusals += notRun ? 1 : 0;
+        if (othersInProgress) {
+            return;
+        }
+        if (retry) {
             sendToNextUpstream();
         } else if (responseStarted) {
             abortResponse(cause);
@@ -334,45 +349,36 @@
     }
 
     private boolean shouldRetry(RetryPolicy.FailureKind kind) {
-        boolean viaHost = currentAttempt != null && currentAttempt.upstream().isHost();
-        if (viaHost && kind != RetryPolicy.FailureKind.MAY_HAVE_RUN) {
-            context.router().recordRefusal(currentAttempt.upstream().name(), admitted.service());
-        }
-        if (kind == RetryPolicy.FailureKind.MAY_HAVE_RUN) {
-            endpointsLeft = viaHost ? 0 : endpointsLeft - 1;
-        }
-        RetryPolicy.Failure failure =
-                new RetryPolicy.Failure(kind, admitted.route().isRetryable(), endpointsLeft, refusals, timeLeft());
-        if (kind != RetryPolicy.FailureKind.MAY_HAVE_RUN) {
-            refusals++;
-        }
-        currentAttempt = null;
-        return RetryPolicy.shouldRetry(failure, context.retryBudgets().forService(admitted.service()));
+        return RetryPolicy.shouldRetry(failure(kind), context.retryBudgets().forService(admitted.service()));
+    }
+
+    private RetryPolicy.Failure failure(RetryPolicy.FailureKind kind) {
+        return new RetryPolicy.Failure(kind, admitted.route().isRetryable(), endpointsLeft(), refusals, timeLeft());
     }
 
     /**
-     * Abandons the current attempt and sends the request to another upstream if no data has arrived for too long, a retry
-     * is allowed, its prompt isn't held back and another upstream can take it now. Otherwise the attempt goes on, since
-     * its upstream may still respond.
+     * Sends the request to an alternative upstream if no data has arrived for too long, a retry is allowed, its prompt isn't
+     * held back and another upstream can take it now. The silent attempt goes on until the alternative begins to answer.
      */
-    void abandonIfStalled(long now) {
-        if (currentAttempt == null) {
+    void sendAlternativeIfStalled(long now) {
+        if (!attempts.hasNoAlternative()) {
             return;
         }
-        boolean viaHost = currentAttempt.upstream().isHost();
+        boolean viaHost = attempts.isViaHost();
         Duration stallTimeout = responseStarted
                 ? AttemptTimeouts.forNextEvent(admitted.route().maxEventGap(), viaHost)
                 : AttemptTimeouts.forFirstResponse(estimateMillis, viaHost);
-        int remaining = viaHost ? 0 : endpointsLeft - 1;
         boolean mayWait = now - lastProgressNanos < stallTimeout.toNanos()
                 || !inbound.responder().isWritable();
+        RetryBudget budget = context.retryBudgets().forService(admitted.service());
         if (!mayWait
-                && remaining > 0
-                && RetryPolicy.isWorthwhile(timeLeft())
-                && context.retryBudgets().forService(admitted.service()).isAvailable()
+                && !viaHost
+                && RetryPolicy.allowsAlternative(failure(RetryPolicy.FailureKind.MAY_HAVE_RUN))
+                && budget.isAvailable()
                 && !context.quarantineCheck().isHeld(crashSuspects.ids())
-                && context.router().hasDestination(admitted, triedUpstreams)) {
-            currentAttempt.abandonStalled();
+                && context.router().hasDestination(admitted, triedUpstreams)
+                && budget.tryWithdraw()) {
+            sendToNextUpstream();
         }
     }
 
@@ -395,8 +401,8 @@
      * @param notSent the kind of failure if no attempt has been made
      */
     private void end(String reason, ErrorKind notSent) {
-        boolean sent = currentAttempt != null || mayHaveRun;
-        cancelCurrent();
+        boolean sent = attempts.isActive() || mayHaveRun;
+        attempts.cancel();
         if (responseStarted) {
             abortResponse(reason + " during the response");
         } else if (sent) {
@@ -406,13 +412,6 @@
         }
     }
 
-    private void cancelCurrent() {
-        if (currentAttempt != null) {
-            currentAttempt.cancel();
-            currentAttempt = null;
-        }
-    }
-
     private void abortResponse(String cause) {
         lastCause = cause;
         inbound.responder().abort();
@@ -425,7 +424,7 @@
                 .refusalResponse(new Refusal(
                         kind, retryAfter, Optional.of(admitted.head().id()), detail));
         if (admitted.forwardedBy().isPresent()) {
-            HopHeaders.markRefusal(response.headers(), kind, !attempts.isEmpty());
+            HopHeaders.markRefusal(response.headers(), kind, attempts.size() > 0);
         }
         inbound.responder().respond(response);
         context.metrics().recordRefusal(kind);
@@ -437,15 +436,13 @@
 
     @Override
     public void onCallerDisconnected() {
-        cancelCurrent();
+        attempts.cancel();
         finish("caller_gone", 0);
     }
 
     @Override
     public void onWritabilityChanged(boolean writable) {
-        if (currentAttempt != null) {
-            currentAttempt.setAutoRead(writable);
-        }
+        attempts.setAutoRead(writable);
     }
 
     private double elapsedMillis() {
@@ -463,10 +460,7 @@
         }
         deadlineTimer.cancel(false);
         inbound.body().release();
-        String upstream = attempts.isEmpty()
-                ? ""
-                : attempts.get(attempts.size() - 1).upstream().name();
-        attempts.forEach(Attempt::release);
+        attempts.close();
         context.log()
                 .decision(
                         "request_" + outcome,
@@ -485,7 +479,7 @@
                         "attempts",
                         attempts.size(),
                         "upstream",
-                        upstream,
+                        attempts.upstreamName(),
                         "estimate_ms",
                         estimateMillis,
                         "first_ms",
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -85,12 +85,12 @@
     }
 
     /**
-     * Retries requests for which no data has arrived for too long on another upstream. Call this method several times a
-     * second.
+     * Sends requests for which no data has arrived for too long to alternative upstreams. Call this method several times
+     * a second.
      */
     public void retryStalledCalls() {
         long now = System.nanoTime();
-        List.copyOf(context.repeatableCalls()).forEach(call -> call.abandonIfStalled(now));
+        List.copyOf(context.repeatableCalls()).forEach(call -> call.sendAlternativeIfStalled(now));
     }
 
     /** Refuses all new requests; requests in progress continue. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointResponse.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EndpointResponse.java
@@ -30,4 +30,17 @@
     public boolean isSuccess() {
         return status >= 200 && status < 300;
     }
+
+    /** Returns whether the status is 5xx. */
+    public boolean isServerError() {
+        return status >= 500;
+    }
+
+    /**
+     * Returns whether callers read the status as a statement that the request was not run. Only a host may make that
+     * statement on behalf of an endpoint.
+     */
+    public boolean impliesNotExecuted() {
+        return status == 408 || status == 421 || status == 429 || status == 503;
+    }
 }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/retry/RetryPolicy.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/retry/RetryPolicy.java
@@ -32,6 +32,18 @@
         };
     }
 
+    /**
+     * Returns whether a request may also be sent to another endpoint while an attempt in progress is silent.
+     *
+     * @param silent the silent attempt as it would be judged if it had failed
+     */
+    public static boolean allowsAlternative(Failure silent) {
+        return silent.idempotent()
+                && silent.endpointsLeft() > 0
+                && silent.refusals() < MAX_REFUSALS
+                && isWorthwhile(silent.timeLeft());
+    }
+
     /** Returns whether a retry with {@code timeLeft} until the caller's deadline is worth sending. */
     public static boolean isWorthwhile(Duration timeLeft) {
         return timeLeft.compareTo(MIN_TIME_LEFT) >= 0;
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/retry/RetryPolicyTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/retry/RetryPolicyTest.java
@@ -57,4 +57,20 @@
                         new Failure(FailureKind.NOT_SENT, true, 1, 0, Duration.ofMillis(20)), budget))
                 .isFalse();
     }
+
+    /** While an endpoint is silent, each request on it may get one alternative at a time, within the same bounds. */
+    @Test
+    void allowsAnAlternativeToASilentAttemptWithinTheBoundsOfARetry() {
+        assertThat(RetryPolicy.allowsAlternative(new Failure(FailureKind.MAY_HAVE_RUN, true, 1, 1, SECOND)))
+                .isTrue();
+        assertThat(RetryPolicy.allowsAlternative(new Failure(FailureKind.MAY_HAVE_RUN, false, 1, 0, SECOND)))
+                .isFalse();
+        assertThat(RetryPolicy.allowsAlternative(new Failure(FailureKind.MAY_HAVE_RUN, true, 0, 0, SECOND)))
+                .isFalse();
+        assertThat(RetryPolicy.allowsAlternative(new Failure(FailureKind.MAY_HAVE_RUN, true, 1, 2, SECOND)))
+                .isFalse();
+        assertThat(RetryPolicy.allowsAlternative(
+                        new Failure(FailureKind.MAY_HAVE_RUN, true, 1, 0, Duration.ofMillis(20))))
+                .isFalse();
+    }
 }
