Don't take a late copy of a response for the answer to the next request

Cause, as far as it can be reproduced: a response without a request id was accepted for whichever request waited on the connection. Evidence: of six kinds of copies (503 with and without a delay, 429, 421, 200, 500), each was taken for the next answer when it lacked the id, none when it had it. A status changed on the way and incomplete responses that pass for whole ones were looked for and not found. Whether the users' endpoints left out the id isn't known.

Now such a response counts only on a connection's first exchange, after which the connection is closed; on a used one the request fails with an unknown outcome (502, or another endpoint if it may run again). A pause or limit that a response names counts only if the response belongs to the request.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.toucanlane.domain.serving.CallKind;
 import org.toucanlane.edge.fleet.Reservation;
+import org.toucanlane.edge.http.Attribution;
 import org.toucanlane.edge.http.ClientCall;
 import org.toucanlane.edge.http.ExchangeListener;
 import org.toucanlane.edge.http.MalformedResponseException;
@@ -69,23 +70,33 @@
     }
 
     @Override
-    public boolean onHead(HttpResponse response) {
+    public Attribution onHead(HttpResponse response) {
         EndpointResponse parsed = dialect.readResponse(response);
         if (parsed.leaving()) {
             upstream.markLeaving();
         }
-        parsed.retryAfter().ifPresent(upstream::pause);
-        if (parsed.requestId().isPresent()
-                && !parsed.requestId().get().equals(admitted.head().id())) {
-            return false;
+        Attribution attribution = attribute(parsed);
+        if (attribution == Attribution.OTHER) {
+            return attribution;
         }
         upstream.recordProgress();
-        upstream.recordRequestLimit(parsed.requestLimit());
+        if (attribution == Attribution.OWN) {
+            upstream.recordRequestLimit(parsed.requestLimit());
+        }
         head = response;
         endpointResponse = parsed;
         refusal = upstream.readRefusal(response);
         streaming = admitted.route().kind() == CallKind.STREAM && parsed.isSuccess() && parsed.hasSeal();
-        return true;
+        return attribution;
+    }
+
+    /** Determines by the request id whether a response belongs to this attempt. Other hosts answer in order. */
+    private Attribution attribute(EndpointResponse response) {
+        String id = admitted.head().id();
+        if (response.requestId().isPresent()) {
+            return response.requestId().get().equals(id) ? Attribution.OWN : Attribution.OTHER;
+        }
+        return upstream.isHost() || id.isEmpty() ? Attribution.OWN : Attribution.UNKNOWN;
     }
 
     @Override
@@ -158,6 +169,7 @@
     }
 
     private void handleCompleteResponse() {
+        endpointResponse.retryAfter().ifPresent(upstream::pause);
         if (refusal.isPresent()) {
             finish(Reservation.Outcome.CANCELLED);
             handleHopRefusal(refusal.get());
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/BufferedExchange.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/BufferedExchange.java
@@ -60,10 +60,10 @@
     }
 
     @Override
-    public boolean onHead(HttpResponse response) {
+    public Attribution onHead(HttpResponse response) {
         status = response.status().code();
         headers = response.headers();
-        return true;
+        return Attribution.OWN;
     }
 
     @Override
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -22,8 +22,9 @@
 /**
  * Handles one connection of a {@link ChannelPool}.
  *
- * <p>Invariant: a connection is reused only if the request was written completely, the response was read completely, and
- * no data followed it; otherwise a later request could receive bytes of another response. Used on one event loop only.
+ * <p>Invariant: a connection is reused only if the request was written completely, the response named the request and was
+ * read completely, and no data followed it; otherwise a later request could receive bytes of another response. Used on one
+ * event loop only.
  */
 final class ClientChannelHandler extends ChannelInboundHandlerAdapter implements ClientCall {
 
@@ -47,7 +48,8 @@
     private boolean receivingResponse;
     private boolean keepAlive;
     private boolean mismatched;
-    private boolean hadMismatch;
+    private boolean reusable = true;
+    private int exchangeCount;
     private int informationalCount;
     private int discardedBytes;
     private long openedAt;
@@ -83,6 +85,7 @@
     /** Sends a request; {@code receiver} receives the response. */
     void send(FullHttpRequest request, ExchangeListener receiver) {
         listener = receiver;
+        exchangeCount++;
         written = false;
         receivingResponse = false;
         keepAlive = false;
@@ -139,8 +142,13 @@
         keepAlive = HttpUtil.isKeepAlive(response)
                 && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
         idleNanos = advertisedIdleNanos(response);
-        mismatched = !listener.onHead(response);
-        hadMismatch |= mismatched;
+        Attribution attribution = listener.onHead(response);
+        reusable &= attribution == Attribution.OWN;
+        mismatched = !attribution.isAccepted(exchangeCount == 1);
+        if (mismatched && attribution == Attribution.UNKNOWN) {
+            fail(new MalformedResponseException(
+                    "response without a request id on a connection that carried an earlier request"));
+        }
     }
 
     /** Returns how long the connection may be idle, from {@code Keep-Alive: timeout=N}, or the default. */
@@ -184,7 +192,7 @@
     }
 
     private void endExchange() {
-        if (keepAlive && written && !hadMismatch && context.channel().isActive()) {
+        if (keepAlive && written && reusable && context.channel().isActive()) {
             context.channel().config().setAutoRead(true);
             startIdling();
         } else {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ExchangeListener.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ExchangeListener.java
@@ -17,9 +17,10 @@
     /**
      * Called with the head of a response.
      *
-     * @return whether the response belongs to this request; if not, it is discarded and the connection is not reused
+     * @return whether the response belongs to this request. If it doesn't, it is discarded and the connection is not reused.
+     *     If that is unknown, the connection is not reused, and the request fails if the connection has been used before
      */
-    boolean onHead(HttpResponse response);
+    Attribution onHead(HttpResponse response);
 
     /**
      * Called with a part of the response body. The listener releases {@code content}.
