Pass on nothing but events in a stream

Another operator's callers found the text of an error, at times its whole head, in the middle of a stream that had broken off, after the next endpoint had answered with an error.

Cause here: EventSplitter took each text that ends with a blank line for an event without an id, and passed it on. Ruled out: passing on by status (404, 500, 302, 503 never got in), and an end that looks complete.

Now a line that is no field of an event fails the attempt, and events without an id wait for the first with a new id, and are dropped if none comes.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EventSplitter.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EventSplitter.java
@@ -1,5 +1,6 @@
 package org.toucanlane.edge.call;
 
+import com.google.common.base.CharMatcher;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
@@ -7,15 +8,23 @@
 
 /**
  * Splits a stream of server-sent events into complete events (WHATWG HTML, "Server-sent events"), so that a truncated
- * event is never forwarded.
+ * event, or bytes that are no events, are never forwarded.
  *
- * <p>Invariant: the ids of the returned events increase strictly. Used on one event loop only.
+ * <p>Invariants: the ids of the returned events increase strictly, and the first returned bytes include an event with a
+ * new id, so that the text of an error isn't taken for a part of the stream. Used on one event loop only.
  */
 final class EventSplitter {
 
     /** Maximum size of an event. A model engine does not send longer ones. */
     private static final int MAX_EVENT_BYTES = 64 << 10;
 
+    /** Characters of a field's name, with which each line begins that is neither blank nor a comment. */
+    private static final CharMatcher FIELD_NAME = CharMatcher.inRange('a', 'z')
+            .or(CharMatcher.inRange('A', 'Z'))
+            .or(CharMatcher.inRange('0', '9'))
+            .or(CharMatcher.anyOf("-_"))
+            .precomputed();
+
     private ByteBuf remainder = Unpooled.EMPTY_BUFFER;
     private long lastId;
     private int eventCount;
@@ -28,7 +37,8 @@
     /**
      * Appends {@code bytes} to the stream and releases them.
      *
-     * @return the events that are now complete, or an empty buffer
+     * @return the events that are now complete, or an empty buffer; events without an id in front of the first one with a
+     *     new id are returned together with it
      * @throws MalformedStreamException if the bytes aren't valid events
      */
     ByteBuf split(ByteBuf bytes) throws MalformedStreamException {
@@ -49,9 +59,11 @@
             from = end;
             end = eventEnd(buffer, from);
         }
-        return extractEvents(buffer, firstNewStart < 0 ? from : firstNewStart, from);
+        int returnedStart = firstNewStart < 0 ? from : firstNewStart;
+        return extractEvents(buffer, returnedStart, eventCount == 0 ? returnedStart : from);
     }
 
+    /** Returns the events from {@code firstNewStart} to {@code end}, and keeps the bytes behind them. */
     private ByteBuf extractEvents(ByteBuf buffer, int firstNewStart, int end) throws MalformedStreamException {
         int remaining = buffer.writerIndex() - end;
         if (remaining > MAX_EVENT_BYTES) {
@@ -89,7 +101,9 @@
 
     /** Records the id of an event and returns whether the caller does not have the event yet. */
     private boolean accept(ByteBuf bytes, int from, int end) throws MalformedStreamException {
-        Optional<Long> id = parseId(bytes.toString(from, end - from, StandardCharsets.UTF_8));
+        String event = bytes.toString(from, end - from, StandardCharsets.UTF_8);
+        checkLines(event);
+        Optional<Long> id = parseId(event);
         if (id.isEmpty()) {
             return true;
         }
@@ -105,6 +119,19 @@
         return true;
     }
 
+    private static void checkLines(String event) throws MalformedStreamException {
+        int start = 0;
+        while (start < event.length()) {
+            int end = event.indexOf('\n', start);
+            String line = CharMatcher.is('\r').trimTrailingFrom(event.substring(start, end < 0 ? event.length() : end));
+            int colon = line.indexOf(':');
+            if (!FIELD_NAME.matchesAllOf(colon < 0 ? line : line.substring(0, colon))) {
+                throw new MalformedStreamException("the stream has a line that is no field of an event");
+            }
+            start = end < 0 ? event.length() : end + 1;
+        }
+    }
+
     private static Optional<Long> parseId(String event) throws MalformedStreamException {
         int at = event.startsWith("id:") ? 0 : event.indexOf("\nid:") + 1;
         if (at == 0 && !event.startsWith("id:")) {
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/EventSplitterTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/EventSplitterTest.java
@@ -77,6 +77,33 @@
                 .toList();
     }
 
+    /** The error of the next endpoint was passed on in the middle of a stream: see docs/incidents/0008. */
+    @Test
+    void keepsEventsWithoutIdUntilAnEventWithANewId() throws Exception {
+        EventSplitter resumed = new EventSplitter(2);
+        assertThat(text(resumed.split(bytes("error: overloaded\n\n")))).isEmpty();
+        assertThat(resumed.isInsideEvent()).isTrue();
+        assertThat(resumed.eventCount()).isZero();
+        EventSplitter answered = new EventSplitter(2);
+        assertThat(text(answered.split(bytes(": resumed\n\nid: 2\ndata: b\n\n"))))
+                .isEmpty();
+        assertThat(text(answered.split(bytes(": next\n\n")))).isEmpty();
+        assertThat(text(answered.split(bytes("id: 3\ndata: c\n\n: more\n\n"))))
+                .isEqualTo(": next\n\nid: 3\ndata: c\n\n: more\n\n");
+        assertThat(text(answered.split(bytes(": last\n\n")))).isEqualTo(": last\n\n");
+    }
+
+    /** A copy of another response behind the events of a stream was passed on with its head. */
+    @Test
+    void rejectsLinesThatAreNoFields() {
+        for (String line : List.of("HTTP/1.1 500 X", "{\"error\":1}", "<html>", "not a field", "\u0001: x", " id: 7")) {
+            EventSplitter started = new EventSplitter(-1);
+            assertThatThrownBy(() -> started.split(bytes("id: 1\ndata: a\n\n" + line + "\r\n\r\n")))
+                    .as(line)
+                    .isInstanceOf(EventSplitter.MalformedStreamException.class);
+        }
+    }
+
     @Test
     void rejectsRepeatedEventId() throws Exception {
         split("id: 5\ndata: a\n\n");
