Rename the match of a response, which shared its name with another class

toucanlane-policy has an Attribution of crashes to prompt segments; the enum of HTTP connections is now ResponseMatch. Comments without a choice of figures.

--- a/toucanlane-domain/src/main/java/org/toucanlane/domain/serving/EndpointRegistration.java
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/serving/EndpointRegistration.java
@@ -33,7 +33,7 @@
         OptionalLong startedAtMillis,
         Optional<String> model) {
 
-    /** Maximum remaining cold-start time; far longer than an engine takes to start. */
+    /** Maximum remaining cold-start time. */
     private static final Duration MAX_COLD_START = Duration.ofDays(1);
 
     /** Characters of an id, which is sent as the value of a header. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Attempt.java
@@ -9,10 +9,10 @@
 import java.util.Optional;
 import org.toucanlane.domain.serving.CallKind;
 import org.toucanlane.edge.fleet.Reservation;
-import org.toucanlane.edge.http.Attribution;
 import org.toucanlane.edge.http.ClientCall;
 import org.toucanlane.edge.http.ExchangeListener;
 import org.toucanlane.edge.http.MalformedResponseException;
+import org.toucanlane.edge.http.ResponseMatch;
 import org.toucanlane.policy.retry.RetryPolicy;
 
 /**
@@ -70,33 +70,33 @@
     }
 
     @Override
-    public Attribution onHead(HttpResponse response) {
+    public ResponseMatch onHead(HttpResponse response) {
         EndpointResponse parsed = dialect.readResponse(response);
         if (parsed.leaving()) {
             upstream.markLeaving();
         }
-        Attribution attribution = attribute(parsed);
-        if (attribution == Attribution.OTHER) {
-            return attribution;
+        ResponseMatch match = match(parsed);
+        if (match == ResponseMatch.OTHER) {
+            return match;
         }
         upstream.recordProgress();
-        if (attribution == Attribution.OWN) {
+        if (match == ResponseMatch.OWN) {
             upstream.recordRequestLimit(parsed.requestLimit());
         }
         head = response;
         endpointResponse = parsed;
         refusal = upstream.readRefusal(response);
         streaming = admitted.route().kind() == CallKind.STREAM && parsed.isSuccess() && parsed.hasSeal();
-        return attribution;
+        return match;
     }
 
     /** Determines by the request id whether a response belongs to this attempt. Other hosts answer in order. */
-    private Attribution attribute(EndpointResponse response) {
+    private ResponseMatch match(EndpointResponse response) {
         String id = admitted.head().id();
         if (response.requestId().isPresent()) {
-            return response.requestId().get().equals(id) ? Attribution.OWN : Attribution.OTHER;
+            return response.requestId().get().equals(id) ? ResponseMatch.OWN : ResponseMatch.OTHER;
         }
-        return upstream.isHost() || id.isEmpty() ? Attribution.OWN : Attribution.UNKNOWN;
+        return upstream.isHost() || id.isEmpty() ? ResponseMatch.OWN : ResponseMatch.UNKNOWN;
     }
 
     @Override
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/BufferedExchange.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/BufferedExchange.java
@@ -60,10 +60,10 @@
     }
 
     @Override
-    public Attribution onHead(HttpResponse response) {
+    public ResponseMatch onHead(HttpResponse response) {
         status = response.status().code();
         headers = response.headers();
-        return Attribution.OWN;
+        return ResponseMatch.OWN;
     }
 
     @Override
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -142,10 +142,10 @@
         keepAlive = HttpUtil.isKeepAlive(response)
                 && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
         idleNanos = advertisedIdleNanos(response);
-        Attribution attribution = listener.onHead(response);
-        reusable &= attribution == Attribution.OWN;
-        mismatched = !attribution.isAccepted(exchangeCount == 1);
-        if (mismatched && attribution == Attribution.UNKNOWN) {
+        ResponseMatch match = listener.onHead(response);
+        reusable &= match == ResponseMatch.OWN;
+        mismatched = !match.isAccepted(exchangeCount == 1);
+        if (mismatched && match == ResponseMatch.UNKNOWN) {
             fail(new MalformedResponseException(
                     "response without a request id on a connection that carried an earlier request"));
         }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ExchangeListener.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ExchangeListener.java
@@ -20,7 +20,7 @@
      * @return whether the response belongs to this request. If it doesn't, it is discarded and the connection is not reused.
      *     If that is unknown, the connection is not reused, and the request fails if the connection has been used before
      */
-    Attribution onHead(HttpResponse response);
+    ResponseMatch onHead(HttpResponse response);
 
     /**
      * Called with a part of the response body. The listener releases {@code content}.
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/Attribution.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseMatch.java
@@ -1,7 +1,7 @@
 package org.toucanlane.edge.http;
 
 /** Whether a response that arrives on a connection belongs to the request that waits for one there. */
-public enum Attribution {
+public enum ResponseMatch {
     /** It names the request, or comes from a server that answers in order without fail. */
     OWN {
         @Override
