Release the bytes of a stream that is rejected

EventSplitter released its bytes only if it returned: an id that is no number or not greater, and since a line that is no field, left them allocated.

Now the bytes are released in all cases. EventSplitterTest.releasesTheBytesOfARejectedStream failed before (the reference count of a rejected buffer was 1) and passes; so do AttemptTest and BrokenStreamTest, without a leak logged.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EventSplitter.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/EventSplitter.java
@@ -44,8 +44,15 @@
     ByteBuf split(ByteBuf bytes) throws MalformedStreamException {
         ByteBuf buffer = remainder.isReadable() ? Unpooled.wrappedBuffer(remainder, bytes) : bytes;
         remainder = Unpooled.EMPTY_BUFFER;
-        int start = buffer.readerIndex();
-        int from = start;
+        try {
+            return splitAll(buffer);
+        } finally {
+            buffer.release();
+        }
+    }
+
+    private ByteBuf splitAll(ByteBuf buffer) throws MalformedStreamException {
+        int from = buffer.readerIndex();
         int firstNewStart = -1;
         int end = eventEnd(buffer, from);
         while (end > 0) {
@@ -67,16 +74,12 @@
     private ByteBuf extractEvents(ByteBuf buffer, int firstNewStart, int end) throws MalformedStreamException {
         int remaining = buffer.writerIndex() - end;
         if (remaining > MAX_EVENT_BYTES) {
-            buffer.release();
             throw new MalformedStreamException("event exceeds the limit of " + MAX_EVENT_BYTES + " bytes");
         }
         if (remaining > 0) {
             remainder = Unpooled.copiedBuffer(buffer.slice(end, remaining));
         }
-        ByteBuf complete =
-                end > firstNewStart ? buffer.retainedSlice(firstNewStart, end - firstNewStart) : Unpooled.EMPTY_BUFFER;
-        buffer.release();
-        return complete;
+        return end > firstNewStart ? buffer.retainedSlice(firstNewStart, end - firstNewStart) : Unpooled.EMPTY_BUFFER;
     }
 
     /**
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/EventSplitterTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/EventSplitterTest.java
@@ -104,6 +104,25 @@
         }
     }
 
+    /** Bytes of streams that are rejected stayed in memory until the process had none left. */
+    @Test
+    void releasesTheBytesOfARejectedStream() {
+        for (String rejected :
+                List.of("id: x\n\n", "id: 5\n\nid: 5\n\n", "HTTP/1.1 500 X\r\n\r\n", "a".repeat(1 << 17))) {
+            for (String before : List.of("", "id: 1\ndata: a\n\nid: ", "id: 1")) {
+                EventSplitter started = new EventSplitter(-1);
+                ByteBuf first = bytes(before);
+                ByteBuf second = bytes((before.isEmpty() ? "" : "2\n\n") + rejected);
+                assertThatThrownBy(() -> {
+                            started.split(first).release();
+                            started.split(second);
+                        })
+                        .isInstanceOf(EventSplitter.MalformedStreamException.class);
+                assertThat(first.refCnt() + second.refCnt()).isZero();
+            }
+        }
+    }
+
     @Test
     void rejectsRepeatedEventId() throws Exception {
         split("id: 5\ndata: a\n\n");
