Log and count responses that aren't taken for the pending request's

Logs and metrics couldn't distinguish the hypotheses: a response that is skipped, a head that consists of two, and bytes on an idle connection left no trace.

Change: response_rejected and toucanlane_responses_rejected_total name the fault (unrequested_bytes, merged_head, other_request, no_request_id, malformed), the upstream and the number of requests that the connection had carried. ResponseDecoder takes the place of the client half of Netty's codec, since only the decoder knows of bytes that don't form a message yet.

No response is treated differently by this commit: merged heads and bytes on an idle connection are reported and still accepted.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Fleet.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Fleet.java
@@ -1,7 +1,6 @@
 package org.toucanlane.edge.fleet;
 
 import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -22,8 +21,8 @@
 import org.toucanlane.domain.serving.ServingConfiguration;
 import org.toucanlane.domain.serving.ServingService;
 import org.toucanlane.edge.http.ChannelPool;
-import org.toucanlane.edge.http.PoolSettings;
 import org.toucanlane.edge.telemetry.DecisionLog;
+import org.toucanlane.edge.telemetry.ResponseFaultLog;
 
 /**
  * This host's view of the fleet: the active configuration, the endpoints and the other hosts.
@@ -61,30 +60,12 @@
     /** Time in which a configuration that is in force on another host must arrive here, too. */
     private static final Duration MAX_CONFIGURATION_LAG = Duration.ofSeconds(3);
 
-    /** Connecting within a region takes about one millisecond; a much longer attempt means that a packet was lost. */
-    private static final Duration ENDPOINT_CONNECT_TIMEOUT = Duration.ofMillis(700);
-
-    /** Connecting across regions takes one round trip of up to a few hundred milliseconds. */
-    private static final Duration HOST_CONNECT_TIMEOUT = Duration.ofMillis(900);
-
-    /** Idle timeout for endpoints that specify none; below the five seconds that are common for servers. */
-    private static final Duration ENDPOINT_IDLE_TIMEOUT = Duration.ofSeconds(3);
-
-    /** Idle timeout for connections to other hosts; below the timeout after which the accepting host closes them. */
-    private static final Duration HOST_IDLE_TIMEOUT = Duration.ofSeconds(10);
-
-    /** Connections to one other host; exceeds the number of concurrent requests that a host can handle. */
-    private static final int MAX_HOST_CONNECTIONS = 600;
-
-    /** Connections to an endpoint whose service sets no limit. */
-    private static final int DEFAULT_MAX_ENDPOINT_CONNECTIONS = 256;
-
-    private static final int MAX_HEADER_BYTES = 32 << 10;
-
     private final EventLoop loop;
     private final DecisionLog log;
     private final String self;
     private final Map<String, String> regionOfDataCentre;
+    private final ResponseFaultLog responseFaults;
+    private final ConnectionPools pools;
     private final MonotonicReference<ServingConfiguration> configuration = new MonotonicReference<>();
     private final Map<String, EndpointHandle> endpoints = new HashMap<>();
     private final Map<String, List<EndpointHandle>> endpointsByService = new HashMap<>();
@@ -114,6 +95,8 @@
         this.log = log;
         this.self = self;
         this.regionOfDataCentre = Map.copyOf(regionOfDataCentre);
+        this.responseFaults = new ResponseFaultLog(log);
+        this.pools = new ConnectionPools(loop, responseFaults);
     }
 
     /** Registers {@code listener} to be called with each new active configuration. */
@@ -121,6 +104,11 @@
         configurationListeners.add(listener);
     }
 
+    /** Returns the faults in the responses of endpoints and other hosts. */
+    public ResponseFaultLog responseFaults() {
+        return responseFaults;
+    }
+
     /** Returns the active configuration, or empty before the first one has been received. Thread-safe. */
     public Optional<ServingConfiguration> configuration() {
         return configuration.get().map(Versioned::value);
@@ -266,12 +254,7 @@
 
     private void add(EndpointRegistration entry) {
         Optional<ServingService> service = configuration().flatMap(current -> current.service(entry.service()));
-        int connections = service.map(ServingService::maxConnections)
-                .filter(bound -> bound > 0)
-                .orElse(DEFAULT_MAX_ENDPOINT_CONNECTIONS);
-        PoolSettings settings =
-                new PoolSettings(ENDPOINT_CONNECT_TIMEOUT, ENDPOINT_IDLE_TIMEOUT, connections, MAX_HEADER_BYTES);
-        ChannelPool pool = new ChannelPool(new InetSocketAddress(entry.address(), entry.port()), loop, settings);
+        ChannelPool pool = pools.forEndpoint(entry, service);
         EndpointHandle handle = new EndpointHandle(entry, pool, engineMemoryTokens(entry.service()));
         endpoints.put(entry.id(), handle);
         endpointsByTag.put(handle.tag(), handle);
@@ -367,10 +350,7 @@
             log.stateChange("host_removed", "host", name);
         }
         entry.ifPresent(record -> {
-            PoolSettings settings =
-                    new PoolSettings(HOST_CONNECT_TIMEOUT, HOST_IDLE_TIMEOUT, MAX_HOST_CONNECTIONS, MAX_HEADER_BYTES);
-            InetSocketAddress address = new InetSocketAddress(record.address(), record.hopPort());
-            HostHandle handle = new HostHandle(record, new ChannelPool(address, loop, settings));
+            HostHandle handle = new HostHandle(record, pools.forHost(record));
             hosts.put(name, handle);
             hostsByTag.put(HostHandle.tagOf(name), handle);
             departedHosts.remove(name);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -13,7 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 import org.toucanlane.coordination.store.AsyncStore;
 import org.toucanlane.coordination.store.StoreTransaction;
 import org.toucanlane.domain.serving.CallerLimits;
@@ -25,6 +26,8 @@
 import org.toucanlane.edge.gossip.Gossip;
 import org.toucanlane.edge.http.HttpServer;
 import org.toucanlane.edge.http.RequestHandler;
+import org.toucanlane.edge.http.ResponseFault;
+import org.toucanlane.edge.http.ResponseFaultListener;
 import org.toucanlane.edge.limit.AccountLimiter;
 import org.toucanlane.edge.state.FreshnessLease;
 import org.toucanlane.edge.state.HostLease;
@@ -109,15 +112,15 @@
             MultiThreadIoEventLoopGroup group,
             DecisionLog log,
             CallDialect dialect,
-            Function<EventLoop, AsyncStore> stores,
+            BiFunction<EventLoop, ResponseFaultListener, AsyncStore> stores,
             FleetStoreFormat documents) {
         this.settings = settings;
         this.group = group;
         this.loop = group.next();
         this.log = log;
         String name = settings.self().name();
-        AsyncStore store = stores.apply(loop);
         this.fleet = new Fleet(loop, log, name, settings.regionOfDataCentre());
+        AsyncStore store = stores.apply(loop, fleet.responseFaults().forServer("store"));
         Duration validity =
                 Duration.ofMillis((long) (settings.keyRevocationTime().toMillis() * VALIDITY_FRACTION));
         this.freshness = new FreshnessLease(System::nanoTime, System::currentTimeMillis, validity);
@@ -160,14 +163,14 @@
     /**
      * Starts a host.
      *
-     * @param stores creates the store client for the host's event loop
+     * @param stores creates the store client for the host's event loop; it reports the faults of responses to its listener
      * @throws IOException if an address can't be bound
      */
     public static EdgeHost start(
             HostSettings settings,
             DecisionLog log,
             CallDialect dialect,
-            Function<EventLoop, AsyncStore> stores,
+            BiFunction<EventLoop, ResponseFaultListener, AsyncStore> stores,
             FleetStoreFormat documents)
             throws IOException {
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -276,6 +279,12 @@
                 () -> fleet.endpoints().stream()
                         .filter(endpoint -> endpoint.requestLimit().named().isPresent())
                         .count());
+        Arrays.stream(ResponseFault.values())
+                .forEach(fault -> metrics.registerCounter(
+                        "toucanlane.responses.rejected",
+                        "fault",
+                        fault.code(),
+                        () -> fleet.responseFaults().count(fault)));
         metrics.registerGauge(
                 "toucanlane.segments.quarantined",
                 "prompt segments that are kept from endpoints because endpoints crashed on them",
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ChannelPool.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ChannelPool.java
@@ -9,8 +9,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -30,16 +30,23 @@
     private final InetSocketAddress address;
     private final EventLoop loop;
     private final PoolSettings settings;
+    private final ResponseFaultListener faultListener;
     private final Deque<ClientChannelHandler> idle = new ArrayDeque<>();
     private final Set<ClientChannelHandler> open = new HashSet<>();
     private int connectingCount;
     private boolean closed;
 
-    /** Creates an empty pool. */
-    public ChannelPool(InetSocketAddress address, EventLoop loop, PoolSettings settings) {
+    /**
+     * Creates an empty pool.
+     *
+     * @param faultListener receives what the server sends and is not the response to a request
+     */
+    public ChannelPool(
+            InetSocketAddress address, EventLoop loop, PoolSettings settings, ResponseFaultListener faultListener) {
         this.address = Preconditions.checkNotNull(address, "address");
         this.loop = Preconditions.checkNotNull(loop, "loop");
         this.settings = Preconditions.checkNotNull(settings, "settings");
+        this.faultListener = Preconditions.checkNotNull(faultListener, "faultListener");
     }
 
     /** Sends {@code request} on an idle connection or on a new one. The request is always released. */
@@ -116,8 +123,9 @@
 
     private void open(Consumer<ClientChannelHandler> opened, Consumer<Throwable> failed) {
         connectingCount++;
-        ClientChannelHandler handler = new ClientChannelHandler(this, settings.idleTime());
         HttpDecoderConfig decoderConfig = new HttpDecoderConfig().setMaxHeaderSize(settings.maxHeaderBytes());
+        ClientChannelHandler handler =
+                new ClientChannelHandler(this, decoderConfig, settings.idleTime(), faultListener);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -128,7 +136,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(decoderConfig, true, false), handler);
+                        channel.pipeline().addLast(handler.decoder(), new HttpRequestEncoder(), handler);
                     }
                 });
         bootstrap.connect(address).addListener((ChannelFuture done) -> {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -42,6 +43,8 @@
 
     private final ChannelPool pool;
     private final long defaultIdleNanos;
+    private final ResponseDecoder decoder;
+    private final ResponseFaultListener faultListener;
     private ChannelHandlerContext context;
     private ExchangeListener listener;
     private boolean written;
@@ -56,12 +59,26 @@
     private long usableUntil;
     private long idleNanos;
 
-    ClientChannelHandler(ChannelPool pool, Duration idleTime) {
+    ClientChannelHandler(
+            ChannelPool pool, HttpDecoderConfig decoderConfig, Duration idleTime, ResponseFaultListener faultListener) {
         this.pool = pool;
+        this.decoder = new ResponseDecoder(
+                decoderConfig,
+                () -> reportFault(ResponseFault.UNREQUESTED_BYTES, "received data without a pending request"));
+        this.faultListener = faultListener;
         this.defaultIdleNanos = idleTime.toNanos();
         this.idleNanos = defaultIdleNanos;
     }
 
+    /** Returns the decoder of the connection, which precedes this handler in its pipeline. */
+    ResponseDecoder decoder() {
+        return decoder;
+    }
+
+    private void reportFault(ResponseFault fault, String detail) {
+        faultListener.onFault(fault, exchangeCount, detail);
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
@@ -86,6 +103,7 @@
     void send(FullHttpRequest request, ExchangeListener receiver) {
         listener = receiver;
         exchangeCount++;
+        decoder.beginExchange(request.method());
         written = false;
         receivingResponse = false;
         keepAlive = false;
@@ -114,6 +132,9 @@
                 return;
             }
             if (listener == null || decoded.isFailure()) {
+                if (listener != null) {
+                    reportFault(ResponseFault.MALFORMED, String.valueOf(decoded.cause()));
+                }
                 fail(new MalformedResponseException(
                         "received data without a pending request, or a malformed HTTP response"));
                 return;
@@ -130,6 +151,7 @@
     }
 
     private void readHead(HttpResponse response) {
+        ResponseHeadCheck.findMergedPart(response).ifPresent(part -> reportFault(ResponseFault.MERGED_HEAD, part));
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             informationalCount++;
             if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
@@ -145,6 +167,9 @@
         ResponseMatch match = listener.onHead(response);
         reusable &= match == ResponseMatch.OWN;
         mismatched = !match.isAccepted(exchangeCount == 1);
+        if (mismatched) {
+            reportFault(match.fault(), "status " + response.status());
+        }
         if (mismatched && match == ResponseMatch.UNKNOWN) {
             fail(new MalformedResponseException(
                     "response without a request id on a connection that carried an earlier request"));
@@ -183,6 +208,7 @@
         if (last) {
             receivingResponse = false;
             listener = null;
+            decoder.endExchange();
         }
         ByteBuf bytes = content.content();
         receiver.onData(bytes.isReadable() ? bytes.retain() : Unpooled.EMPTY_BUFFER, last);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseMatch.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseMatch.java
@@ -8,6 +8,11 @@
         boolean isAccepted(boolean firstExchange) {
             return true;
         }
+
+        @Override
+        ResponseFault fault() {
+            throw new IllegalStateException("a response that names the request is no fault");
+        }
     },
 
     /** It names another request. */
@@ -16,6 +21,11 @@
         boolean isAccepted(boolean firstExchange) {
             return false;
         }
+
+        @Override
+        ResponseFault fault() {
+            return ResponseFault.OTHER_REQUEST;
+        }
     },
 
     /** It names no request. On a connection that carried an earlier request, it may be a late copy of that response. */
@@ -24,6 +34,11 @@
         boolean isAccepted(boolean firstExchange) {
             return firstExchange;
         }
+
+        @Override
+        ResponseFault fault() {
+            return ResponseFault.NO_REQUEST_ID;
+        }
     };
 
     /**
@@ -32,4 +47,7 @@
      * @param firstExchange whether the connection has carried no earlier request
      */
     abstract boolean isAccepted(boolean firstExchange);
+
+    /** Returns the fault of a response that isn't accepted. */
+    abstract ResponseFault fault();
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/telemetry/CallMetrics.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/telemetry/CallMetrics.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.DistributionSummary;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -126,6 +127,13 @@
         Gauge.builder(name, value).description(description).register(registry);
     }
 
+    /** Registers a counter whose value is read at each scrape. */
+    public void registerCounter(String name, String tag, String tagValue, Supplier<Number> value) {
+        FunctionCounter.builder(name, value, source -> source.get().doubleValue())
+                .tag(tag, tagValue)
+                .register(registry);
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public String scrape() {
         return registry.scrape();
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/http/ChannelPoolTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/http/ChannelPoolTest.java
@@ -40,7 +40,7 @@
     private ChannelPool pool(int maxConnections) {
         PoolSettings settings = new PoolSettings(TIMEOUT, TIMEOUT, maxConnections, MAX_HEADER_BYTES);
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
-        return new ChannelPool(address, loop, settings);
+        return new ChannelPool(address, loop, settings, (fault, exchange, detail) -> {});
     }
 
     private boolean openIfNone(ChannelPool pool) throws Exception {
