Keep the counters of rejected responses from being collected

Operators saw nothing yet: found by the first test that reads the counter, which was 0 after the log had a line for each fault, in one of 9 cases. Cause: the registry of the metrics holds the object of a function counter weakly, and the supplier was referenced by nothing else. Change: the counter is bound to the metrics object, which the host holds. Before: 1 of 9 cases of RepeatedResponseTest.doesNotJoin... read 0.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/telemetry/CallMetrics.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/telemetry/CallMetrics.java
@@ -129,7 +129,8 @@
 
     /** Registers a counter whose value is read at each scrape. */
     public void registerCounter(String name, String tag, String tagValue, Supplier<Number> value) {
-        FunctionCounter.builder(name, value, source -> source.get().doubleValue())
+        // The registry holds its second argument weakly.
+        FunctionCounter.builder(name, this, metrics -> value.get().doubleValue())
                 .tag(tag, tagValue)
                 .register(registry);
     }
