Reject the head of a response that contains another status line

Cause: a late copy of an earlier response that ends inside its head is continued by the next response on the connection. The decoder reads both as one head, with the status of the copy and, if the copy ends before its id, the id, seal and body of the answer. So the check of the id passes. If the copy has its id, the answer is skipped as part of a response to another request, and the caller waits until the route's time-out. Class of fault: the boundary between two messages is inferred from what the first one should have been.

Evidence: MergedHeadTest cuts the copy at each byte of its head, with both framings and four moments: on the code before, all 32 cases fail (16 hang, since the answer was skipped). Of the callers in RepeatedResponseTest.doesNotJoin..., 4 of 9 got 200 for a 500, one 504 after the route's time; the rest got 502.

The request fails with an unknown outcome, and the connection is closed. It applies to all clients of the pool: endpoints, other hosts and the store. Why it works: the answer's own status line comes whole behind the copy, so wherever the copy ends inside its head, the line is there.

After: 32 of 32 and 9 of 9 pass. Ruled out: a decoder that validates header names finds only copies that end in a name or at a line's end.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -19,6 +19,7 @@
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Handles one connection of a {@link ChannelPool}.
@@ -151,7 +152,12 @@
     }
 
     private void readHead(HttpResponse response) {
-        ResponseHeadCheck.findMergedPart(response).ifPresent(part -> reportFault(ResponseFault.MERGED_HEAD, part));
+        Optional<String> mergedPart = ResponseHeadCheck.findMergedPart(response);
+        if (mergedPart.isPresent()) {
+            reportFault(ResponseFault.MERGED_HEAD, mergedPart.get());
+            fail(new MalformedResponseException("the head of a response contains another status line"));
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             informationalCount++;
             if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
