Close a connection on which bytes come while no request is pending

Cause: bytes on an idle connection closed it only once they formed a message. Class of fault: a state is judged by what was understood, not by what was received.

Evidence: MergedHeadTest.sendsNoRequestBehindABrokenOffCopy writes the copy in one piece with the response that it copies: before, the next request failed in both cases for the copies that ended within the head.

Change: ResponseDecoder decodes only while a request is pending. Anything that comes else is dropped, reported as unrequested_bytes, and the connection is closed. The end of a response and the check of the bytes behind it are one pass of the decoder, so that no request can be sent between them.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -63,9 +63,7 @@
     ClientChannelHandler(
             ChannelPool pool, HttpDecoderConfig decoderConfig, Duration idleTime, ResponseFaultListener faultListener) {
         this.pool = pool;
-        this.decoder = new ResponseDecoder(
-                decoderConfig,
-                () -> reportFault(ResponseFault.UNREQUESTED_BYTES, "received data without a pending request"));
+        this.decoder = new ResponseDecoder(decoderConfig, this::onUnrequestedBytes);
         this.faultListener = faultListener;
         this.defaultIdleNanos = idleTime.toNanos();
         this.idleNanos = defaultIdleNanos;
@@ -132,12 +130,12 @@
                 fail(new IOException("connection closed within the head of a response", decoded.cause()));
                 return;
             }
-            if (listener == null || decoded.isFailure()) {
-                if (listener != null) {
-                    reportFault(ResponseFault.MALFORMED, String.valueOf(decoded.cause()));
-                }
-                fail(new MalformedResponseException(
-                        "received data without a pending request, or a malformed HTTP response"));
+            if (listener == null) {
+                return;
+            }
+            if (decoded.isFailure()) {
+                reportFault(ResponseFault.MALFORMED, String.valueOf(decoded.cause()));
+                fail(new MalformedResponseException("received a malformed HTTP response"));
                 return;
             }
             if (message instanceof HttpResponse response) {
@@ -244,10 +242,19 @@
     }
 
     void close() {
+        decoder.endExchange();
         pool.closed(this);
         context.close();
     }
 
+    /** Closes a connection without a request; another response may begin with these bytes. */
+    private void onUnrequestedBytes() {
+        if (context.channel().isActive()) {
+            reportFault(ResponseFault.UNREQUESTED_BYTES, "received data without a pending request");
+            close();
+        }
+    }
+
     private void fail(Throwable cause) {
         ExchangeListener receiver = listener;
         boolean wasReceiving = receivingResponse;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseDecoder.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseDecoder.java
@@ -9,7 +9,10 @@
 import java.util.List;
 
 /**
- * Decodes the responses of one connection, which carries one request at a time. Used on one event loop only.
+ * Decodes the responses of one connection, which carries one request at a time.
+ *
+ * <p>Invariant: bytes are decoded only while a request is pending, so that none of them can become the start of a later
+ * response. Used on one event loop only.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
@@ -19,7 +22,8 @@
     /**
      * Creates a decoder without a pending request.
      *
-     * @param unrequestedBytesListener called when bytes have arrived while no request is pending
+     * @param unrequestedBytesListener called when bytes have been dropped, since no request is pending; it closes the
+     *     connection
      */
     ResponseDecoder(HttpDecoderConfig config, Runnable unrequestedBytesListener) {
         super(config);
@@ -31,17 +35,19 @@
         pendingMethod = method;
     }
 
-    /** Records that the response to the pending request is complete. */
+    /** Records that the response to the pending request is complete, or that the request has failed. */
     void endExchange() {
         pendingMethod = null;
     }
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
-        if (pendingMethod == null && buffer.isReadable()) {
+        if (pendingMethod != null) {
+            super.decode(ctx, buffer, out);
+        } else if (buffer.isReadable()) {
+            buffer.skipBytes(buffer.readableBytes());
             unrequestedBytesListener.run();
         }
-        super.decode(ctx, buffer, out);
     }
 
     @Override
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/http/MergedHeadTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/http/MergedHeadTest.java
@@ -33,6 +33,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
@@ -233,6 +234,25 @@
         assertThat(wrong).isEmpty();
     }
 
+    /** The connection is closed, though the bytes that came while it was idle are no message yet. */
+    @ParameterizedTest
+    @EnumSource(Framing.class)
+    void sendsNoRequestBehindABrokenOffCopy(Framing framing) throws Exception {
+        String first = framing.response(200, "first");
+        List<String> wrong = new ArrayList<>();
+        for (int size : IntStream.rangeClosed(1, first.length()).toArray()) {
+            script = new Script(Time.WITH_THE_FIRST, first, first.substring(0, size), framing.response(500, "next"));
+            ChannelPool pool = pool();
+            assertThat(send(pool, "first")).isEqualTo("200 right");
+            String outcome = send(pool, "next");
+            if (!outcome.equals("500 right")) {
+                wrong.add(size + " bytes of the copy: " + outcome);
+            }
+            loop.submit(pool::close).get();
+        }
+        assertThat(wrong).isEmpty();
+    }
+
     /** The store's responses name no request, so only the head itself tells that it is one of two. */
     @ParameterizedTest
     @MethodSource("cases")
