Don't wait for an answer that a broken-off copy has swallowed

Cause: a response that names another request is skipped up to its end. If it is incomplete, the answer behind it is skipped as the rest of its body, and if it has neither length nor chunks, so is everything up to the end of the connection.

Change: a response to another request that ends with its connection fails the pending request at once, as does a status line within the body of one that is skipped. The outcome is unknown (502), so a request that may be repeated goes to another endpoint. It costs the answer in the unlikely case that the body of a whole copy contains a status line.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -173,6 +173,11 @@
         mismatched = !match.isAccepted(exchangeCount == 1);
         if (mismatched) {
             reportFault(match.fault(), "status " + response.status());
+            boolean endless = !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
+            if (match == ResponseMatch.OTHER && endless) {
+                fail(new MalformedResponseException("the response to another request ends with the connection"));
+                return;
+            }
         }
         if (mismatched && match == ResponseMatch.UNKNOWN) {
             fail(new MalformedResponseException(
@@ -196,6 +201,11 @@
     private void readContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (mismatched) {
+            if (ResponseHeadCheck.containsStatusLine(content.content())) {
+                reportFault(ResponseFault.SWALLOWED_RESPONSE, "status line in the body of another response");
+                fail(new MalformedResponseException("the response to another request contains a status line"));
+                return;
+            }
             receivingResponse = !last;
             mismatched = !last;
             discardedBytes += content.content().readableBytes();
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseHeadCheck.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseHeadCheck.java
@@ -1,7 +1,9 @@
 package org.toucanlane.edge.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Pattern;
@@ -35,6 +37,13 @@
                 .findFirst();
     }
 
+    /** Returns whether a part of a response's body contains a status line, so that another response may have begun. */
+    static boolean containsStatusLine(ByteBuf content) {
+        return STATUS_LINE
+                .matcher(content.toString(StandardCharsets.ISO_8859_1))
+                .find();
+    }
+
     private static String line(Map.Entry<String, String> header) {
         return header.getKey() + ": " + header.getValue();
     }
