Search the bytes of a head, not the decoded head, for another status line

Callers could still get a success for a 500, or "not run" for a request that ran, if the copy ended behind a header's name and a space.

Cause: the decoder ends a response's header name at the first whitespace and drops what stands between it and the colon, so the next status line is in no part of the decoded head.

Change: ResponseDecoder searches the bytes that a head consumed. StatusLines takes the place of ResponseHeadCheck.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -19,7 +19,6 @@
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
-import java.util.Optional;
 
 /**
  * Handles one connection of a {@link ChannelPool}.
@@ -28,7 +27,7 @@
  * read completely, and no data followed it; otherwise a later request could receive bytes of another response. Used on one
  * event loop only.
  */
-final class ClientChannelHandler extends ChannelInboundHandlerAdapter implements ClientCall {
+final class ClientChannelHandler extends ChannelInboundHandlerAdapter implements ClientCall, ResponseDecoder.Listener {
 
     /**
      * Fraction of the idle time advertised by the server during which a connection is reused. The remainder covers network
@@ -63,7 +62,7 @@
     ClientChannelHandler(
             ChannelPool pool, HttpDecoderConfig decoderConfig, Duration idleTime, ResponseFaultListener faultListener) {
         this.pool = pool;
-        this.decoder = new ResponseDecoder(decoderConfig, this::onUnrequestedBytes);
+        this.decoder = new ResponseDecoder(decoderConfig, this);
         this.faultListener = faultListener;
         this.defaultIdleNanos = idleTime.toNanos();
         this.idleNanos = defaultIdleNanos;
@@ -150,12 +149,6 @@
     }
 
     private void readHead(HttpResponse response) {
-        Optional<String> mergedPart = ResponseHeadCheck.findMergedPart(response);
-        if (mergedPart.isPresent()) {
-            reportFault(ResponseFault.MERGED_HEAD, mergedPart.get());
-            fail(new MalformedResponseException("the head of a response contains another status line"));
-            return;
-        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             informationalCount++;
             if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
@@ -201,7 +194,7 @@
     private void readContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (mismatched) {
-            if (ResponseHeadCheck.containsStatusLine(content.content())) {
+            if (StatusLines.isIn(content.content())) {
                 reportFault(ResponseFault.SWALLOWED_RESPONSE, "status line in the body of another response");
                 fail(new MalformedResponseException("the response to another request contains a status line"));
                 return;
@@ -257,14 +250,21 @@
         context.close();
     }
 
-    /** Closes a connection without a request; another response may begin with these bytes. */
-    private void onUnrequestedBytes() {
+    /** Closes the connection; another response may begin with these bytes. */
+    @Override
+    public void onUnrequestedBytes() {
         if (context.channel().isActive()) {
             reportFault(ResponseFault.UNREQUESTED_BYTES, "received data without a pending request");
             close();
         }
     }
 
+    @Override
+    public void onMergedHead() {
+        reportFault(ResponseFault.MERGED_HEAD, "another status line in the head of a response");
+        fail(new MalformedResponseException("the head of a response contains another status line"));
+    }
+
     private void fail(Throwable cause) {
         ExchangeListener receiver = listener;
         boolean wasReceiving = receivingResponse;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseDecoder.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseDecoder.java
@@ -1,38 +1,44 @@
 package org.toucanlane.edge.http;
 
+import com.google.common.base.CharMatcher;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 /**
  * Decodes the responses of one connection, which carries one request at a time.
  *
- * <p>Invariant: bytes are decoded only while a request is pending, so that none of them can become the start of a later
- * response. Used on one event loop only.
+ * <p>Invariants: bytes are decoded only while a request is pending, so that none of them can become the start of a later
+ * response; a head that contains another status line is not passed on. The bytes of a head are searched, since the decoder
+ * drops some of them. Used on one event loop only.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
-    private final Runnable unrequestedBytesListener;
+    private final Listener listener;
     private HttpMethod pendingMethod;
+    private boolean readingHead;
+    private boolean headStarted;
+    private boolean followedByBytes;
 
-    /**
-     * Creates a decoder without a pending request.
-     *
-     * @param unrequestedBytesListener called when bytes have been dropped, since no request is pending; it closes the
-     *     connection
-     */
-    ResponseDecoder(HttpDecoderConfig config, Runnable unrequestedBytesListener) {
+    /** Creates a decoder without a pending request. */
+    ResponseDecoder(HttpDecoderConfig config, Listener listener) {
         super(config);
-        this.unrequestedBytesListener = unrequestedBytesListener;
+        this.listener = listener;
     }
 
     /** Records that a request has been sent, and decodes what arrives as responses to it. */
     void beginExchange(HttpMethod method) {
         pendingMethod = method;
+        readingHead = true;
+        headStarted = false;
+        followedByBytes = false;
     }
 
     /** Records that the response to the pending request is complete, or that the request has failed. */
@@ -40,13 +46,48 @@
         pendingMethod = null;
     }
 
+    /** Returns whether bytes have arrived behind the response that was decoded last. */
+    boolean isFollowedByBytes() {
+        return followedByBytes;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
-        if (pendingMethod != null) {
-            super.decode(ctx, buffer, out);
-        } else if (buffer.isReadable()) {
+        if (pendingMethod == null) {
+            boolean unrequested = buffer.isReadable();
             buffer.skipBytes(buffer.readableBytes());
-            unrequestedBytesListener.run();
+            if (unrequested) {
+                listener.onUnrequestedBytes();
+            }
+            return;
+        }
+        int start = buffer.readerIndex();
+        super.decode(ctx, buffer, out);
+        if (readingHead
+                && isMerged(buffer.toString(start, buffer.readerIndex() - start, StandardCharsets.ISO_8859_1))) {
+            out.clear();
+            listener.onMergedHead();
+            return;
+        }
+        out.forEach(message -> updateState(message, buffer.isReadable()));
+    }
+
+    /** Returns whether a part of a head contains a status line that isn't the head's own. */
+    private boolean isMerged(String part) {
+        int first = CharMatcher.whitespace().negate().indexIn(part);
+        boolean continued = headStarted;
+        headStarted |= first >= 0;
+        return StatusLines.isIn(part, continued ? 0 : first + 1);
+    }
+
+    private void updateState(Object message, boolean moreBytes) {
+        if (message instanceof HttpResponse) {
+            readingHead = false;
+            headStarted = false;
+        }
+        if (message instanceof LastHttpContent) {
+            readingHead = true;
+            followedByBytes = moreBytes;
         }
     }
 
@@ -54,4 +95,14 @@
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return HttpMethod.HEAD.equals(pendingMethod) || super.isContentAlwaysEmpty(message);
     }
+
+    /** Receives what is not the response to the pending request. Its methods close the connection. */
+    interface Listener {
+
+        /** Called when bytes have been dropped, since no request is pending. */
+        void onUnrequestedBytes();
+
+        /** Called when a head contains another status line, and has been dropped. */
+        void onMergedHead();
+    }
 }
