Don't complete a body with the head of a repeated response

Callers got a success whose body was half of the answer and the head of a second response to the same request (MIXED).

Cause: an answer with a length that is broken off in its body, on a connection that stays open, takes the bytes that follow as its rest. A repetition of the response carries the same id, which therefore can't help. Same class: the boundary is inferred from what the first message claims.

Evidence: RepeatedResponseTest.doesNotCompleteABody...: before, 200 with "half of itHTTP/1.1 500 X..." on both routes; after, 502. Change: if bytes follow a body whose last part contains a status line, the request fails with an unknown outcome. Bytes behind a complete body alone still only end the use of the connection. RepeatedResponseTest 43 of 43, EndlessResponseTest 15, HostTest 29 pass. Not seen: a read that ends exactly with the claimed length.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -212,6 +212,11 @@
         if (receiver == null) {
             return;
         }
+        if (last && decoder.isFollowedByBytes() && StatusLines.isIn(content.content())) {
+            reportFault(ResponseFault.SWALLOWED_RESPONSE, "status line in the end of a body, and bytes behind it");
+            fail(new MalformedResponseException("the response contains the start of another one"));
+            return;
+        }
         if (last) {
             receivingResponse = false;
             listener = null;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseFault.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseFault.java
@@ -8,7 +8,7 @@
     /** A status line stands within the head of a response, which therefore consists of parts of several responses. */
     MERGED_HEAD("merged_head"),
 
-    /** A status line stands within the body of a response to another request, which may therefore be incomplete. */
+    /** A status line stands within the body of a response, which may therefore be incomplete. */
     SWALLOWED_RESPONSE("swallowed_response"),
 
     /** The response names another request. */
