Read a response of an endpoint or a service only if its head is complete

Cause: Apache's parser ends the headers at a blank line or at the end of the connection. A head that is cut behind its status code has no length, so that its body ends with the connection, too. Class of fault: the end of the input is taken for the end of a message.

Change: ResponseHeadParser fails if the connection ends before the head does. The clients are built in one place, ServiceClients; their other settings are as before, except that the host list's client also checks connections idle for 500 ms and has 2 connections, not 5.

Remains: of a chunked body, the end of the connection behind the digit 0 of a chunk's size is taken for the last chunk. A server that writes sizes with leading zeros could be cut there.

--- a/toucanlane-platform/src/main/java/org/toucanlane/platform/endpoint/EndpointClient.java
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/endpoint/EndpointClient.java
@@ -8,12 +8,9 @@
 import java.time.Duration;
 import org.apache.hc.client5.http.ConnectTimeoutException;
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
-import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClientBuilder;
-import org.apache.hc.client5.http.impl.classic.HttpClients;
-import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
 import org.apache.hc.core5.http.ContentType;
@@ -21,6 +18,7 @@
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.util.Timeout;
 import org.toucanlane.domain.route.Idempotency;
+import org.toucanlane.platform.http.ServiceClients;
 
 /**
  * Sends HTTP requests to endpoints.
@@ -39,7 +37,6 @@
 
     private static final int MAX_CONNECTIONS = 4096;
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-    private static final Duration VALIDATE_AFTER_INACTIVITY = Duration.ofMillis(500);
 
     private final CloseableHttpClient pooledClient = newClientBuilder().build();
     private final CloseableHttpClient nonReusingClient = newClientBuilder()
@@ -47,21 +44,12 @@
             .build();
 
     private static HttpClientBuilder newClientBuilder() {
-        return HttpClients.custom()
-                .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
-                        .setMaxConnPerRoute(MAX_CONNECTIONS)
-                        .setMaxConnTotal(MAX_CONNECTIONS)
-                        .setDefaultConnectionConfig(ConnectionConfig.custom()
-                                .setConnectTimeout(Timeout.of(CONNECT_TIMEOUT))
-                                .setValidateAfterInactivity(Timeout.of(VALIDATE_AFTER_INACTIVITY))
-                                .build())
-                        .build())
-                .disableAutomaticRetries()
+        return ServiceClients.newBuilder(MAX_CONNECTIONS, CONNECT_TIMEOUT)
                 .disableCookieManagement()
+                .disableRedirectHandling()
                 .disableAuthCaching()
                 .disableContentCompression()
-                .disableDefaultUserAgent()
-                .disableRedirectHandling();
+                .disableDefaultUserAgent();
     }
 
     /**
--- a/toucanlane-platform/src/main/java/org/toucanlane/platform/hostlist/HostListClient.java
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/hostlist/HostListClient.java
@@ -7,14 +7,12 @@
 import java.time.Duration;
 import java.util.List;
 import org.apache.hc.client5.http.classic.methods.HttpGet;
-import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
-import org.apache.hc.client5.http.impl.classic.HttpClients;
-import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.util.Timeout;
+import org.toucanlane.platform.http.ServiceClients;
 
 /** HTTP client of the platform's host list. Thread-safe. */
 public final class HostListClient implements AutoCloseable {
@@ -22,6 +20,7 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final TypeReference<List<ListedHost>> HOSTS = new TypeReference<>() {};
     private static final int OK = 200;
+    private static final int MAX_CONNECTIONS = 2;
 
     private final URI address;
     private final CloseableHttpClient client;
@@ -34,16 +33,10 @@
      */
     public HostListClient(URI base, Duration timeout) {
         this.address = URI.create(base + "/v1/hosts");
-        this.client = HttpClients.custom()
-                .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
-                        .setDefaultConnectionConfig(ConnectionConfig.custom()
-                                .setConnectTimeout(Timeout.of(timeout))
-                                .build())
-                        .build())
+        this.client = ServiceClients.newBuilder(MAX_CONNECTIONS, timeout)
                 .setDefaultRequestConfig(RequestConfig.custom()
                         .setResponseTimeout(Timeout.of(timeout))
                         .build())
-                .disableAutomaticRetries()
                 .build();
     }
 
--- /dev/null
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/http/ResponseHeadParser.java
@@ -0,0 +1,54 @@
+package org.toucanlane.platform.http;
+
+import java.io.FilterInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
+
+/**
+ * Parses the heads of the responses on one connection.
+ *
+ * <p>Invariant: a head is returned only if its blank line has arrived, since the lines of a truncated head don't tell the
+ * length of the body. Used by one thread at a time.
+ */
+final class ResponseHeadParser extends DefaultHttpResponseParser {
+
+    ResponseHeadParser(Http1Config config) {
+        super(config);
+    }
+
+    @Override
+    public ClassicHttpResponse parse(SessionInputBuffer buffer, InputStream in) throws IOException, HttpException {
+        return super.parse(buffer, new HeadInputStream(in));
+    }
+
+    /** Fails at the end of the stream, which the parser takes for the end of a head. */
+    private static final class HeadInputStream extends FilterInputStream {
+
+        private HeadInputStream(InputStream in) {
+            super(in);
+        }
+
+        @Override
+        public int read() throws IOException {
+            return checkOpen(super.read());
+        }
+
+        @Override
+        public int read(byte[] bytes, int offset, int length) throws IOException {
+            return checkOpen(super.read(bytes, offset, length));
+        }
+
+        private static int checkOpen(int read) throws IOException {
+            if (read < 0) {
+                throw new ConnectionClosedException("connection closed before the end of a response's head");
+            }
+            return read;
+        }
+    }
+}
--- /dev/null
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/http/ServiceClients.java
@@ -0,0 +1,45 @@
+package org.toucanlane.platform.http;
+
+import java.time.Duration;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.impl.classic.HttpClientBuilder;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.ManagedHttpClientConnectionFactory;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * Creates HTTP clients of the platform's services and endpoints, which may send incomplete responses.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class ServiceClients {
+
+    private static final Duration VALIDATE_AFTER_INACTIVITY = Duration.ofMillis(500);
+
+    private ServiceClients() {}
+
+    /**
+     * Returns a builder of clients that send each request at most once.
+     *
+     * @param maxConnections maximum number of open connections
+     */
+    public static HttpClientBuilder newBuilder(int maxConnections, Duration connectTimeout) {
+        ManagedHttpClientConnectionFactory connections = ManagedHttpClientConnectionFactory.builder()
+                .http1Config(Http1Config.DEFAULT)
+                .responseParserFactory(ResponseHeadParser::new)
+                .build();
+        return HttpClients.custom()
+                .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
+                        .setConnectionFactory(connections)
+                        .setMaxConnPerRoute(maxConnections)
+                        .setMaxConnTotal(maxConnections)
+                        .setDefaultConnectionConfig(ConnectionConfig.custom()
+                                .setConnectTimeout(Timeout.of(connectTimeout))
+                                .setValidateAfterInactivity(Timeout.of(VALIDATE_AFTER_INACTIVITY))
+                                .build())
+                        .build())
+                .disableAutomaticRetries();
+    }
+}
--- a/toucanlane-platform/src/main/java/org/toucanlane/platform/store/HttpKeyValueStore.java
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/store/HttpKeyValueStore.java
@@ -12,11 +12,8 @@
 import org.apache.hc.client5.http.classic.methods.HttpGet;
 import org.apache.hc.client5.http.classic.methods.HttpPut;
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
-import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
-import org.apache.hc.client5.http.impl.classic.HttpClients;
-import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
@@ -27,6 +24,7 @@
 import org.toucanlane.coordination.store.StoreConflictException;
 import org.toucanlane.coordination.store.StoreException;
 import org.toucanlane.coordination.store.VersionedValue;
+import org.toucanlane.platform.http.ServiceClients;
 
 /**
  * HTTP client of the platform's key-value store. Never retries a request. Thread-safe.
@@ -42,7 +40,6 @@
     private static final int NOT_FOUND = 404;
     private static final int PRECONDITION_FAILED = 412;
     private static final int TOO_MANY_REQUESTS = 429;
-    private static final Duration VALIDATE_AFTER_INACTIVITY = Duration.ofMillis(500);
 
     private final URI base;
     private final Duration timeout;
@@ -51,17 +48,7 @@
     private HttpKeyValueStore(URI base, Duration timeout) {
         this.base = Preconditions.checkNotNull(base, "base");
         this.timeout = timeout;
-        ConnectionConfig connections = ConnectionConfig.custom()
-                .setConnectTimeout(Timeout.of(timeout))
-                .setValidateAfterInactivity(Timeout.of(VALIDATE_AFTER_INACTIVITY))
-                .build();
-        this.client = HttpClients.custom()
-                .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
-                        .setMaxConnPerRoute(MAX_CONNECTIONS)
-                        .setMaxConnTotal(MAX_CONNECTIONS)
-                        .setDefaultConnectionConfig(connections)
-                        .build())
-                .disableAutomaticRetries()
+        this.client = ServiceClients.newBuilder(MAX_CONNECTIONS, timeout)
                 .disableCookieManagement()
                 .disableRedirectHandling()
                 .build();
