Bound what the daemon reads of one response

Not seen by users here.

Cause: Apache HttpClient's defaults bound neither a line nor the number of headers nor the informational responses, its time-out applies to each read only, and EntityUtils reads a body of any size. Class of fault: an input without a bound.

Blank lines and lines that are no status line were bounded before.

Change: lines have at most 8 KB, heads and trailers 100 of them, 8 informational responses may precede a response. An endpoint's body is passed on as it comes, and buffered up to 8 MB for keyed requests only, as before.

--- a/toucanlane-platform/src/main/java/org/toucanlane/platform/endpoint/EndpointClient.java
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/endpoint/EndpointClient.java
@@ -18,6 +18,7 @@
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.util.Timeout;
 import org.toucanlane.domain.route.Idempotency;
+import org.toucanlane.platform.http.RequestDeadline;
 import org.toucanlane.platform.http.ServiceClients;
 
 /**
@@ -38,6 +39,9 @@
     private static final int MAX_CONNECTIONS = 4096;
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
+    /** Covers the waits for a free connection and for the connection to be established. */
+    private static final Duration MAX_CONNECT_TIME = CONNECT_TIMEOUT.multipliedBy(2);
+
     private final CloseableHttpClient pooledClient = newClientBuilder().build();
     private final CloseableHttpClient nonReusingClient = newClientBuilder()
             .setConnectionReuseStrategy((request, response, context) -> false)
@@ -60,7 +64,9 @@
     public EndpointResponse send(EndpointRequest request) throws EndpointException {
         HttpUriRequestBase http = toHttpRequest(request);
         CloseableHttpClient client = request.idempotency() == Idempotency.IDEMPOTENT ? pooledClient : nonReusingClient;
-        try {
+        RequestDeadline deadline =
+                RequestDeadline.start(http, request.responseTimeout().plus(MAX_CONNECT_TIME));
+        try (deadline) {
             ClassicHttpResponse response = client.executeOpen(null, http, null);
             return new EndpointResponse(http, response);
         } catch (ConnectException
@@ -72,6 +78,10 @@
         } catch (SocketTimeoutException e) {
             throw new EndpointException(EndpointException.Reason.TIMED_OUT, "the endpoint did not answer in time", e);
         } catch (IOException e) {
+            if (deadline.isExpired()) {
+                throw new EndpointException(
+                        EndpointException.Reason.TIMED_OUT, "the endpoint's response head was incomplete in time", e);
+            }
             throw new EndpointException(EndpointException.Reason.FAILED, "the connection to the endpoint failed", e);
         }
     }
--- a/toucanlane-platform/src/main/java/org/toucanlane/platform/http/ResponseHeadParser.java
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/http/ResponseHeadParser.java
@@ -6,6 +6,8 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
@@ -18,13 +20,23 @@
  */
 final class ResponseHeadParser extends DefaultHttpResponseParser {
 
+    /** Maximum number of informational (1xx) responses in a row. */
+    private static final int MAX_INFORMATIONAL_RESPONSES = 8;
+
+    private int informationalCount;
+
     ResponseHeadParser(Http1Config config) {
         super(config);
     }
 
     @Override
     public ClassicHttpResponse parse(SessionInputBuffer buffer, InputStream in) throws IOException, HttpException {
-        return super.parse(buffer, new HeadInputStream(in));
+        ClassicHttpResponse response = super.parse(buffer, new HeadInputStream(in));
+        informationalCount = response.getCode() < HttpStatus.SC_SUCCESS ? informationalCount + 1 : 0;
+        if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
+            throw new ProtocolException("more than " + MAX_INFORMATIONAL_RESPONSES + " informational responses");
+        }
+        return response;
     }
 
     /** Fails at the end of the stream, which the parser takes for the end of a head. */
--- a/toucanlane-platform/src/main/java/org/toucanlane/platform/http/ServiceClients.java
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/http/ServiceClients.java
@@ -10,7 +10,7 @@
 import org.apache.hc.core5.util.Timeout;
 
 /**
- * Creates HTTP clients of the platform's services and endpoints, which may send incomplete responses.
+ * Creates HTTP clients of the platform's services and endpoints, which may send incomplete or endless responses.
  *
  * <p>Stateless and thread-safe.
  */
@@ -18,6 +18,14 @@
 
     private static final Duration VALIDATE_AFTER_INACTIVITY = Duration.ofMillis(500);
 
+    private static final int MAX_LINE_LENGTH = 8 << 10;
+    private static final int MAX_HEADERS = 100;
+
+    private static final Http1Config LIMITS = Http1Config.custom()
+            .setMaxLineLength(MAX_LINE_LENGTH)
+            .setMaxHeaderCount(MAX_HEADERS)
+            .build();
+
     private ServiceClients() {}
 
     /**
@@ -27,8 +35,8 @@
      */
     public static HttpClientBuilder newBuilder(int maxConnections, Duration connectTimeout) {
         ManagedHttpClientConnectionFactory connections = ManagedHttpClientConnectionFactory.builder()
-                .http1Config(Http1Config.DEFAULT)
-                .responseParserFactory(ResponseHeadParser::new)
+                .http1Config(LIMITS)
+                .responseParserFactory(config -> new ResponseHeadParser(LIMITS))
                 .build();
         return HttpClients.custom()
                 .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
--- a/toucanlane-platform/src/main/java/org/toucanlane/platform/store/HttpKeyValueStore.java
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/store/HttpKeyValueStore.java
@@ -18,12 +18,13 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
-import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.util.Timeout;
 import org.toucanlane.coordination.store.KeyValueStore;
 import org.toucanlane.coordination.store.StoreConflictException;
 import org.toucanlane.coordination.store.StoreException;
 import org.toucanlane.coordination.store.VersionedValue;
+import org.toucanlane.platform.http.RequestDeadline;
+import org.toucanlane.platform.http.ResponseBodies;
 import org.toucanlane.platform.http.ServiceClients;
 
 /**
@@ -35,6 +36,10 @@
     public static final String REVISION_HEADER = "X-Revision";
 
     private static final int MAX_CONNECTIONS = 64;
+
+    /** Maximum size of a response; above the largest value of the store. */
+    private static final int MAX_BODY_BYTES = 2 << 20;
+
     private static final int OK = 200;
     private static final int NOT_MODIFIED = 304;
     private static final int NOT_FOUND = 404;
@@ -106,8 +111,10 @@
                 .setConnectionRequestTimeout(Timeout.of(timeout))
                 .setResponseTimeout(Timeout.of(responseTimeout))
                 .build());
-        try {
-            return client.execute(request, HttpKeyValueStore::toResponse);
+        Duration maxTime = responseTimeout.plus(timeout.multipliedBy(2));
+        RequestDeadline deadline = RequestDeadline.start(request, maxTime);
+        try (deadline) {
+            return client.execute(request, response -> toResponse(request, response));
         } catch (ConnectException | ConnectTimeoutException e) {
             throw StoreException.withoutEffect("no connection to the store", e);
         } catch (IOException e) {
@@ -115,9 +122,9 @@
         }
     }
 
-    private static Response toResponse(ClassicHttpResponse response) throws IOException {
+    private static Response toResponse(HttpUriRequestBase request, ClassicHttpResponse response) throws IOException {
         Header revision = response.getFirstHeader(REVISION_HEADER);
-        byte[] body = response.getEntity() == null ? new byte[0] : EntityUtils.toByteArray(response.getEntity());
+        byte[] body = ResponseBodies.read(request, response.getEntity(), MAX_BODY_BYTES);
         return new Response(response.getCode(), revision == null ? 0 : Long.parseLong(revision.getValue()), body);
     }
 
