Send each request of the daemon on a connection of its own

Cause: requests that may be repeated, and those to the store and the host list, went on kept connections. The pool checks a connection that has been idle for 500 ms for its end, not for unread bytes, and no response of these services names its request. So a late copy of an earlier response is the next response, and a copy that is cut within its head is joined with it. Class of fault: a response is attributed by its place in a sequence that the other side need not keep.

Evidence: LateCopyTest writes a copy of the first response, up to each of its 80 bytes, in one piece with the first or the next response, while the connection is idle, or after the next request; the next response is a 500.

Change: the clients keep no connection. Without a request id in these protocols nothing less is sound: a copy may come after the next request was sent. Of the other remedies, a check for unread bytes leaves that time open, and a check of the head doesn't find whole copies. The idempotency of an EndpointRequest, which chose between two clients, is gone, so Client in the tests has one kind of endpoint request, not two.

Price, not measured: a connection per request, a round trip within the data centre.

--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/LocalDispatcher.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/dispatch/LocalDispatcher.java
@@ -128,7 +128,6 @@
                 request.contentType(),
                 request.accept(),
                 request.body(),
-                request.idempotency(),
                 readTimeout);
         try {
             EndpointResponse response = client.send(outgoing);
--- a/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/EndpointLoadMonitor.java
+++ b/toucanlane-gateway/src/main/java/org/toucanlane/gateway/peer/EndpointLoadMonitor.java
@@ -13,7 +13,6 @@
 import java.util.stream.Stream;
 import org.toucanlane.coordination.hash.RendezvousHash;
 import org.toucanlane.coordination.membership.Member;
-import org.toucanlane.domain.route.Idempotency;
 import org.toucanlane.gateway.GatewaySettings;
 import org.toucanlane.gateway.dispatch.EndpointPools;
 import org.toucanlane.gateway.dispatch.EndpointState;
@@ -109,7 +108,6 @@
                 "",
                 "application/json",
                 new byte[0],
-                Idempotency.IDEMPOTENT,
                 REQUEST_TIMEOUT);
         try (EndpointResponse response = client.send(request)) {
             byte[] buffer = new byte[MAX_REPORT_BYTES];
--- a/toucanlane-platform/src/main/java/org/toucanlane/platform/endpoint/EndpointClient.java
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/endpoint/EndpointClient.java
@@ -10,14 +10,12 @@
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
-import org.apache.hc.client5.http.impl.classic.HttpClientBuilder;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.util.Timeout;
-import org.toucanlane.domain.route.Idempotency;
 import org.toucanlane.platform.http.RequestDeadline;
 import org.toucanlane.platform.http.ServiceClients;
 
@@ -25,8 +23,7 @@
  * Sends HTTP requests to endpoints.
  *
  * <p>Invariants: a request is sent at most once; no caller headers are forwarded except those listed in
- * {@link EndpointRequest}. A non-idempotent request always gets a new connection: on a pooled connection that the
- * endpoint has just closed, it would be unknown whether the request arrived. Thread-safe.
+ * {@link EndpointRequest}; each request has a connection of its own. Thread-safe.
  */
 public final class EndpointClient implements AutoCloseable {
 
@@ -42,20 +39,14 @@
     /** Covers the waits for a free connection and for the connection to be established. */
     private static final Duration MAX_CONNECT_TIME = CONNECT_TIMEOUT.multipliedBy(2);
 
-    private final CloseableHttpClient pooledClient = newClientBuilder().build();
-    private final CloseableHttpClient nonReusingClient = newClientBuilder()
-            .setConnectionReuseStrategy((request, response, context) -> false)
+    private final CloseableHttpClient client = ServiceClients.newBuilder(MAX_CONNECTIONS, CONNECT_TIMEOUT)
+            .disableCookieManagement()
+            .disableRedirectHandling()
+            .disableAuthCaching()
+            .disableContentCompression()
+            .disableDefaultUserAgent()
             .build();
 
-    private static HttpClientBuilder newClientBuilder() {
-        return ServiceClients.newBuilder(MAX_CONNECTIONS, CONNECT_TIMEOUT)
-                .disableCookieManagement()
-                .disableRedirectHandling()
-                .disableAuthCaching()
-                .disableContentCompression()
-                .disableDefaultUserAgent();
-    }
-
     /**
      * Sends a request and returns once the head of the response was received. The caller must close the response.
      *
@@ -63,7 +54,6 @@
      */
     public EndpointResponse send(EndpointRequest request) throws EndpointException {
         HttpUriRequestBase http = toHttpRequest(request);
-        CloseableHttpClient client = request.idempotency() == Idempotency.IDEMPOTENT ? pooledClient : nonReusingClient;
         RequestDeadline deadline =
                 RequestDeadline.start(http, request.responseTimeout().plus(MAX_CONNECT_TIME));
         try (deadline) {
@@ -108,8 +98,6 @@
 
     @Override
     public void close() throws IOException {
-        try (pooledClient) {
-            nonReusingClient.close();
-        }
+        client.close();
     }
 }
--- a/toucanlane-platform/src/main/java/org/toucanlane/platform/endpoint/EndpointRequest.java
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/endpoint/EndpointRequest.java
@@ -2,7 +2,6 @@
 
 import java.net.URI;
 import java.time.Duration;
-import org.toucanlane.domain.route.Idempotency;
 
 /**
  * A request to an endpoint. Nothing else from the caller's request is forwarded.
@@ -13,7 +12,6 @@
  * @param contentType content type of the body; empty if there is none
  * @param accept content types that the caller accepts; empty if not specified
  * @param body request body; must not be modified
- * @param idempotency whether it may be sent on a pooled connection, which may be stale
  * @param responseTimeout maximum wait for the response head, and for each further chunk of the body
  */
 public record EndpointRequest(
@@ -23,5 +21,4 @@
         String contentType,
         String accept,
         byte[] body,
-        Idempotency idempotency,
         Duration responseTimeout) {}
--- a/toucanlane-platform/src/main/java/org/toucanlane/platform/http/ServiceClients.java
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/http/ServiceClients.java
@@ -12,12 +12,13 @@
 /**
  * Creates HTTP clients of the platform's services and endpoints, which may send incomplete or endless responses.
  *
+ * <p>Invariant: a connection carries one request. A response names no request, so on a kept connection a late copy of an
+ * earlier response could be taken for the next one.
+ *
  * <p>Stateless and thread-safe.
  */
 public final class ServiceClients {
 
-    private static final Duration VALIDATE_AFTER_INACTIVITY = Duration.ofMillis(500);
-
     private static final int MAX_LINE_LENGTH = 8 << 10;
     private static final int MAX_HEADERS = 100;
 
@@ -45,9 +46,9 @@
                         .setMaxConnTotal(maxConnections)
                         .setDefaultConnectionConfig(ConnectionConfig.custom()
                                 .setConnectTimeout(Timeout.of(connectTimeout))
-                                .setValidateAfterInactivity(Timeout.of(VALIDATE_AFTER_INACTIVITY))
                                 .build())
                         .build())
+                .setConnectionReuseStrategy((request, response, context) -> false)
                 .disableAutomaticRetries();
     }
 }
--- a/toucanlane-platform/src/test/java/org/toucanlane/platform/http/Client.java
+++ b/toucanlane-platform/src/test/java/org/toucanlane/platform/http/Client.java
@@ -8,7 +8,6 @@
 import java.time.Duration;
 import org.toucanlane.coordination.store.StoreConflictException;
 import org.toucanlane.coordination.store.StoreException;
-import org.toucanlane.domain.route.Idempotency;
 import org.toucanlane.platform.endpoint.EndpointClient;
 import org.toucanlane.platform.endpoint.EndpointException;
 import org.toucanlane.platform.endpoint.EndpointRequest;
@@ -18,16 +17,10 @@
 
 /** A client of the daemon. */
 enum Client {
-    IDEMPOTENT_ENDPOINT_REQUEST {
+    ENDPOINT_REQUEST {
         @Override
         Caller open(URI address) {
-            return endpoint(address, Idempotency.IDEMPOTENT);
-        }
-    },
-    NON_IDEMPOTENT_ENDPOINT_REQUEST {
-        @Override
-        Caller open(URI address) {
-            return endpoint(address, Idempotency.NON_IDEMPOTENT);
+            return endpoint(address);
         }
     },
     STORE_READ {
@@ -59,10 +52,9 @@
     /** Time-out of each client. */
     static final Duration TIMEOUT = Duration.ofSeconds(1);
 
-    private static Caller endpoint(URI address, Idempotency idempotency) {
+    private static Caller endpoint(URI address) {
         EndpointClient client = new EndpointClient();
-        EndpointRequest request =
-                new EndpointRequest("id", "POST", address, "", "", new byte[] {1}, idempotency, TIMEOUT);
+        EndpointRequest request = new EndpointRequest("id", "POST", address, "", "", new byte[] {1}, TIMEOUT);
         return new Caller(
                 () -> {
                     try (EndpointResponse response = client.send(request)) {
--- a/toucanlane-platform/src/test/java/org/toucanlane/platform/http/EndlessResponseTest.java
+++ b/toucanlane-platform/src/test/java/org/toucanlane/platform/http/EndlessResponseTest.java
@@ -63,9 +63,7 @@
         /** Returns whether the client passes the body of this response on as it comes, so that its reader ends it. */
         private boolean isStreamedBy(Client client) {
             boolean body = this == BODY_WITHOUT_LENGTH || this == LONG_BODY || this == CHUNKS || this == ERROR_BODY;
-            return body
-                    && (client == Client.IDEMPOTENT_ENDPOINT_REQUEST
-                            || client == Client.NON_IDEMPOTENT_ENDPOINT_REQUEST);
+            return body && client == Client.ENDPOINT_REQUEST;
         }
     }
 
