End a response that switches protocols, and skip a bounded number of others

Callers waited until the route's time-out, up to 20 s in the tests' configuration, while an endpoint sent data behind a 101 response, or responses to other requests that have no body, without end. Not seen by users here.

Cause: data behind a 101 response belongs to a message that is ignored, and the bound on skipped responses counts the bytes of their bodies only. Class of fault: an input without a bound.

Change: 101 is a malformed response, since no request asks for another protocol; at most 8 responses to other requests are skipped.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -39,6 +40,9 @@
     /** Maximum number of informational (1xx) responses before the response to a request. */
     private static final int MAX_INFORMATIONAL_RESPONSES = 8;
 
+    /** Maximum number of responses to other requests that are skipped before the response to a request. */
+    private static final int MAX_DISCARDED_RESPONSES = 8;
+
     /** Maximum size of responses to other requests that are skipped before the response to a request. */
     private static final int MAX_DISCARDED_BYTES = 256 << 10;
 
@@ -55,6 +59,7 @@
     private boolean reusable = true;
     private int exchangeCount;
     private int informationalCount;
+    private int discardedCount;
     private int discardedBytes;
     private long openedAt;
     private long usableUntil;
@@ -107,6 +112,7 @@
         receivingResponse = false;
         keepAlive = false;
         informationalCount = 0;
+        discardedCount = 0;
         discardedBytes = 0;
         receiver.onStarted(this);
         if (listener != receiver) {
@@ -157,11 +163,7 @@
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            informationalCount++;
-            if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
-                fail(new MalformedResponseException(
-                        "more than " + MAX_INFORMATIONAL_RESPONSES + " informational responses"));
-            }
+            readInformationalHead(response);
             return;
         }
         receivingResponse = true;
@@ -177,6 +179,23 @@
         if (mismatched && match == ResponseMatch.UNKNOWN) {
             fail(new MalformedResponseException(
                     "response without a request id on a connection that carried an earlier request"));
+            return;
+        }
+        discardedCount += mismatched ? 1 : 0;
+        if (discardedCount > MAX_DISCARDED_RESPONSES) {
+            fail(new MalformedResponseException(
+                    "more than " + MAX_DISCARDED_RESPONSES + " responses to other requests"));
+        }
+    }
+
+    private void readInformationalHead(HttpResponse response) {
+        informationalCount++;
+        if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            // Data of another protocol follows, which has no end.
+            fail(new MalformedResponseException("response switches protocols without being asked to"));
+        } else if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
+            fail(new MalformedResponseException(
+                    "more than " + MAX_INFORMATIONAL_RESPONSES + " informational responses"));
         }
     }
 
