--- a/toucanlane-platform/src/main/java/org/toucanlane/platform/endpoint/EndpointClient.java
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/endpoint/EndpointClient.java
@@ -8,26 +8,22 @@
 import java.time.Duration;
 import org.apache.hc.client5.http.ConnectTimeoutException;
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
-import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
-import org.apache.hc.client5.http.impl.classic.HttpClientBuilder;
-import org.apache.hc.client5.http.impl.classic.HttpClients;
-import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.util.Timeout;
-import org.toucanlane.domain.route.Idempotency;
+import org.toucanlane.platform.http.RequestDeadline;
+import org.toucanlane.platform.http.ServiceClients;
 
 /**
  * Sends HTTP requests to endpoints.
  *
  * <p>Invariants: a request is sent at most once; no caller headers are forwarded except those listed in
- * {@link EndpointRequest}. A non-idempotent request always gets a new connection: on a pooled connection that the
- * endpoint has just closed, it would be unknown whether the request arrived. Thread-safe.
+ * {@link EndpointRequest}; each request has a connection of its own. Thread-safe.
  */
 public final class EndpointClient implements AutoCloseable {
 
@@ -39,30 +35,17 @@
 
     private static final int MAX_CONNECTIONS = 4096;
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-    private static final Duration VALIDATE_AFTER_INACTIVITY = Duration.ofMillis(500);
 
-    private final CloseableHttpClient pooledClient = newClientBuilder().build();
-    private final CloseableHttpClient nonReusingClient = newClientBuilder()
-            .setConnectionReuseStrategy((request, response, context) -> false)
-            .build();
+    /** Covers the waits for a free connection and for the connection to be established. */
+    private static final Duration MAX_CONNECT_TIME = CONNECT_TIMEOUT.multipliedBy(2);
 
-    private static HttpClientBuilder newClientBuilder() {
-        return HttpClients.custom()
-                .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
-                        .setMaxConnPerRoute(MAX_CONNECTIONS)
-                        .setMaxConnTotal(MAX_CONNECTIONS)
-                        .setDefaultConnectionConfig(ConnectionConfig.custom()
-                                .setConnectTimeout(Timeout.of(CONNECT_TIMEOUT))
-                                .setValidateAfterInactivity(Timeout.of(VALIDATE_AFTER_INACTIVITY))
-                                .build())
-                        .build())
-                .disableAutomaticRetries()
-                .disableCookieManagement()
-                .disableAuthCaching()
-                .disableContentCompression()
-                .disableDefaultUserAgent()
-                .disableRedirectHandling();
-    }
+    private final CloseableHttpClient client = ServiceClients.newBuilder(MAX_CONNECTIONS, CONNECT_TIMEOUT)
+            .disableCookieManagement()
+            .disableRedirectHandling()
+            .disableAuthCaching()
+            .disableContentCompression()
+            .disableDefaultUserAgent()
+            .build();
 
     /**
      * Sends a request and returns once the head of the response was received. The caller must close the response.
@@ -71,8 +54,9 @@
      */
     public EndpointResponse send(EndpointRequest request) throws EndpointException {
         HttpUriRequestBase http = toHttpRequest(request);
-        CloseableHttpClient client = request.idempotency() == Idempotency.IDEMPOTENT ? pooledClient : nonReusingClient;
-        try {
+        RequestDeadline deadline =
+                RequestDeadline.start(http, request.responseTimeout().plus(MAX_CONNECT_TIME));
+        try (deadline) {
             ClassicHttpResponse response = client.executeOpen(null, http, null);
             return new EndpointResponse(http, response);
         } catch (ConnectException
@@ -84,6 +68,10 @@
         } catch (SocketTimeoutException e) {
             throw new EndpointException(EndpointException.Reason.TIMED_OUT, "the endpoint did not answer in time", e);
         } catch (IOException e) {
+            if (deadline.isExpired()) {
+                throw new EndpointException(
+                        EndpointException.Reason.TIMED_OUT, "the endpoint's response head was incomplete in time", e);
+            }
             throw new EndpointException(EndpointException.Reason.FAILED, "the connection to the endpoint failed", e);
         }
     }
@@ -110,8 +98,6 @@
 
     @Override
     public void close() throws IOException {
-        try (pooledClient) {
-            nonReusingClient.close();
-        }
+        client.close();
     }
 }
--- a/toucanlane-platform/src/main/java/org/toucanlane/platform/store/HttpKeyValueStore.java
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/store/HttpKeyValueStore.java
@@ -12,21 +12,20 @@
 import org.apache.hc.client5.http.classic.methods.HttpGet;
 import org.apache.hc.client5.http.classic.methods.HttpPut;
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
-import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
-import org.apache.hc.client5.http.impl.classic.HttpClients;
-import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
-import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.util.Timeout;
 import org.toucanlane.coordination.store.KeyValueStore;
 import org.toucanlane.coordination.store.StoreConflictException;
 import org.toucanlane.coordination.store.StoreException;
 import org.toucanlane.coordination.store.VersionedValue;
+import org.toucanlane.platform.http.RequestDeadline;
+import org.toucanlane.platform.http.ResponseBodies;
+import org.toucanlane.platform.http.ServiceClients;
 
 /**
  * HTTP client of the platform's key-value store. Never retries a request. Thread-safe.
@@ -37,12 +36,15 @@
     public static final String REVISION_HEADER = "X-Revision";
 
     private static final int MAX_CONNECTIONS = 64;
+
+    /** Maximum size of a response; above the largest value of the store. */
+    private static final int MAX_BODY_BYTES = 2 << 20;
+
     private static final int OK = 200;
     private static final int NOT_MODIFIED = 304;
     private static final int NOT_FOUND = 404;
     private static final int PRECONDITION_FAILED = 412;
     private static final int TOO_MANY_REQUESTS = 429;
-    private static final Duration VALIDATE_AFTER_INACTIVITY = Duration.ofMillis(500);
 
     private final URI base;
     private final Duration timeout;
@@ -51,17 +53,7 @@
     private HttpKeyValueStore(URI base, Duration timeout) {
         this.base = Preconditions.checkNotNull(base, "base");
         this.timeout = timeout;
-        ConnectionConfig connections = ConnectionConfig.custom()
-                .setConnectTimeout(Timeout.of(timeout))
-                .setValidateAfterInactivity(Timeout.of(VALIDATE_AFTER_INACTIVITY))
-                .build();
-        this.client = HttpClients.custom()
-                .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
-                        .setMaxConnPerRoute(MAX_CONNECTIONS)
-                        .setMaxConnTotal(MAX_CONNECTIONS)
-                        .setDefaultConnectionConfig(connections)
-                        .build())
-                .disableAutomaticRetries()
+        this.client = ServiceClients.newBuilder(MAX_CONNECTIONS, timeout)
                 .disableCookieManagement()
                 .disableRedirectHandling()
                 .build();
@@ -119,8 +111,10 @@
                 .setConnectionRequestTimeout(Timeout.of(timeout))
                 .setResponseTimeout(Timeout.of(responseTimeout))
                 .build());
-        try {
-            return client.execute(request, HttpKeyValueStore::toResponse);
+        Duration maxTime = responseTimeout.plus(timeout.multipliedBy(2));
+        RequestDeadline deadline = RequestDeadline.start(request, maxTime);
+        try (deadline) {
+            return client.execute(request, response -> toResponse(request, response));
         } catch (ConnectException | ConnectTimeoutException e) {
             throw StoreException.withoutEffect("no connection to the store", e);
         } catch (IOException e) {
@@ -128,9 +122,9 @@
         }
     }
 
-    private static Response toResponse(ClassicHttpResponse response) throws IOException {
+    private static Response toResponse(HttpUriRequestBase request, ClassicHttpResponse response) throws IOException {
         Header revision = response.getFirstHeader(REVISION_HEADER);
-        byte[] body = response.getEntity() == null ? new byte[0] : EntityUtils.toByteArray(response.getEntity());
+        byte[] body = ResponseBodies.read(request, response.getEntity(), MAX_BODY_BYTES);
         return new Response(response.getCode(), revision == null ? 0 : Long.parseLong(revision.getValue()), body);
     }
 
