Serve the answer behind a late copy that has no body

Callers would have got 502 for an answer behind a whole copy of a 204 response: the check for responses that end with their connection took one without a body for one. Change: the decoder, which knows which responses have no body, decides.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -168,8 +168,7 @@
         mismatched = !match.isAccepted(exchangeCount == 1);
         if (mismatched) {
             reportFault(match.fault(), "status " + response.status());
-            boolean endless = !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
-            if (match == ResponseMatch.OTHER && endless) {
+            if (match == ResponseMatch.OTHER && decoder.endsWithConnection(response)) {
                 fail(new MalformedResponseException("the response to another request ends with the connection"));
                 return;
             }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseDecoder.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseDecoder.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -46,6 +47,13 @@
         pendingMethod = null;
     }
 
+    /** Returns whether the body of a response to the pending request ends with the connection only. */
+    boolean endsWithConnection(HttpResponse response) {
+        return !isContentAlwaysEmpty(response)
+                && !HttpUtil.isContentLengthSet(response)
+                && !HttpUtil.isTransferEncodingChunked(response);
+    }
+
     /** Returns whether bytes have arrived behind the response that was decoded last. */
     boolean isFollowedByBytes() {
         return followedByBytes;
