Report a connection whose socket can't be created, on the event loop

Class of fault: a failure reported on another path than all others.

Cause: Netty reports the failure on a thread of its own with a channel that has no event loop. ChannelPool's listener closed that channel first, which throws, so the request wasn't told and its body never released.

Change: the outcome is handled on the event loop, and only a registered channel is closed. Of the same class: if the handler of a request throws, its connection is closed and the failure goes on to the log; it stayed open without an answer (a malformed query of the directory does that, by reading).

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ChannelPool.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ChannelPool.java
@@ -3,6 +3,7 @@
 import com.google.common.base.Preconditions;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -31,6 +32,7 @@
     private final EventLoop loop;
     private final PoolSettings settings;
     private final ResponseFaultListener faultListener;
+    private final ChannelFactory<? extends Channel> sockets;
     private final Deque<ClientChannelHandler> idle = new ArrayDeque<>();
     private final Set<ClientChannelHandler> open = new HashSet<>();
     private int connectingCount;
@@ -43,10 +45,20 @@
      */
     public ChannelPool(
             InetSocketAddress address, EventLoop loop, PoolSettings settings, ResponseFaultListener faultListener) {
+        this(address, loop, settings, faultListener, NioSocketChannel::new);
+    }
+
+    ChannelPool(
+            InetSocketAddress address,
+            EventLoop loop,
+            PoolSettings settings,
+            ResponseFaultListener faultListener,
+            ChannelFactory<? extends Channel> sockets) {
         this.address = Preconditions.checkNotNull(address, "address");
         this.loop = Preconditions.checkNotNull(loop, "loop");
         this.settings = Preconditions.checkNotNull(settings, "settings");
         this.faultListener = Preconditions.checkNotNull(faultListener, "faultListener");
+        this.sockets = Preconditions.checkNotNull(sockets, "sockets");
     }
 
     /** Sends {@code request} on an idle connection or on a new one. The request is always released. */
@@ -128,7 +140,7 @@
                 new ClientChannelHandler(this, decoderConfig, settings.idleTime(), faultListener);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(sockets)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
@@ -140,18 +152,33 @@
                     }
                 });
         bootstrap.connect(address).addListener((ChannelFuture done) -> {
-            connectingCount--;
-            if (done.isSuccess() && !closed) {
-                handler.markOpened(System.nanoTime());
-                open.add(handler);
-                opened.accept(handler);
+            if (loop.inEventLoop()) {
+                onConnected(done, handler, opened, failed);
             } else {
-                done.channel().close();
-                failed.accept(done.isSuccess() ? poolUnavailable() : done.cause());
+                // The future of a channel that couldn't be created isn't notified on the event loop.
+                loop.execute(() -> onConnected(done, handler, opened, failed));
             }
         });
     }
 
+    private void onConnected(
+            ChannelFuture done,
+            ClientChannelHandler handler,
+            Consumer<ClientChannelHandler> opened,
+            Consumer<Throwable> failed) {
+        connectingCount--;
+        if (done.isSuccess() && !closed) {
+            handler.markOpened(System.nanoTime());
+            open.add(handler);
+            opened.accept(handler);
+            return;
+        }
+        if (done.channel().isRegistered()) {
+            done.channel().close();
+        }
+        failed.accept(done.isSuccess() ? poolUnavailable() : done.cause());
+    }
+
     /** Returns a connection to the pool after its exchange has ended. */
     void release(ClientChannelHandler handler) {
         if (closed) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -139,6 +139,10 @@
         return connections.stream().filter(ServerChannelHandler::isBusy).count();
     }
 
+    InetSocketAddress address() {
+        return (InetSocketAddress) channel.localAddress();
+    }
+
     boolean isDraining() {
         return draining;
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -152,7 +152,13 @@
 
     private void handle(InboundRequest inbound) {
         if (context.channel().isActive()) {
-            server.handler().handle(inbound);
+            try {
+                server.handler().handle(inbound);
+            } catch (RuntimeException e) {
+                // Nothing else would end the request. The event loop logs the failure.
+                context.close();
+                throw e;
+            }
         } else {
             inbound.body().release();
         }
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/http/ChannelPoolTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/http/ChannelPoolTest.java
@@ -1,21 +1,33 @@
 package org.toucanlane.edge.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.SocketException;
+import java.nio.channels.spi.SelectorProvider;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Tests the opening of connections without a request. */
+/** Tests the opening of connections. */
 class ChannelPoolTest {
 
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
@@ -89,4 +101,44 @@
         assertThat(openIfNone(pool)).isFalse();
         assertThat(hasOpenConnection(pool)).isFalse();
     }
+
+    private ChannelPool poolWithoutSockets() {
+        PoolSettings settings = new PoolSettings(TIMEOUT, TIMEOUT, 1, MAX_HEADER_BYTES);
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+        return new ChannelPool(address, loop, settings, (fault, exchange, detail) -> {}, UnopenableChannel::new);
+    }
+
+    /** A request was lost with its body if the process had no descriptor left: see docs/incidents/0014. */
+    @Test
+    void reportsAConnectionWhoseSocketCannotBeCreated() throws Exception {
+        ChannelPool pool = poolWithoutSockets();
+        // Each try counts against the limit of one connection until it has failed.
+        for (int i = 0; i < 3; i++) {
+            ByteBuf body = Unpooled.buffer().writeZero(8);
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/", body);
+            CompletableFuture<Boolean> reportedOnLoop = new CompletableFuture<>();
+            CompletableFuture<BufferedExchange.Response> result = CompletableFuture.supplyAsync(
+                            () -> BufferedExchange.send(pool, loop, request, TIMEOUT.multipliedBy(2), 0), loop)
+                    .thenCompose(response -> response);
+            result.whenComplete((response, failure) -> reportedOnLoop.complete(loop.inEventLoop()));
+            assertThatThrownBy(() -> result.get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS))
+                    .isInstanceOf(ExecutionException.class)
+                    .hasRootCauseMessage("Too many open files");
+            assertThat(reportedOnLoop.get()).isTrue();
+            assertThat(body.refCnt()).isZero();
+        }
+        assertThat(openIfNone(pool)).isFalse();
+    }
+
+    /** A channel that fails as one does whose socket can't be created. */
+    private static final class UnopenableChannel extends NioSocketChannel {
+
+        private UnopenableChannel() {
+            super(failToOpen());
+        }
+
+        private static SelectorProvider failToOpen() {
+            throw new ChannelException("Failed to open a socket.", new SocketException("Too many open files"));
+        }
+    }
 }
