Read the store's keys if the changes since a revision exceed a response

What callers saw: a host that the store had turned away for 6.4 s, while a configuration of 756 kB changed 12 times, ran requests as only older versions allow and refused keys for about 14 s after the store served it again. Class of fault: a failure that a repetition can't cure is treated as one that it can.

Cause: a watch returns every change, 12 MB in Base64; PlatformStore accepts 8 MiB and reported the excess as an unreachable store, and StoreMirror sent the same watch each 250 ms until the history was gone.

Change: such a response fails with RESPONSE_TOO_LARGE, after which the mirror reads all keys, as after a compaction. Why it works: a page of a range is bounded by the current values. Values don't go back: put() ignores older revisions, and a removal that precedes the copy's value is ignored now too (the pages of a read may already show a key as written again; the removal in the watch that follows was applied).

Ruled out: a response that is too slow; in MissedChangesTest on this change the log has store_history_gone with RESPONSE_TOO_LARGE. On the code before the log has nothing of it, as the store counted as lost already. No test was changed; three were added to StoreMirrorTest.

--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/store/AsyncStoreException.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/store/AsyncStoreException.java
@@ -32,9 +32,16 @@
         REFUSED,
         /** The history from the watch's start revision has been compacted. */
         COMPACTED,
+        /** The response exceeds the maximum size; the same call would exceed it again. */
+        RESPONSE_TOO_LARGE,
         /** A condition of the transaction does not hold; nothing was changed. */
         CONFLICT,
         /** The lease has expired or been revoked. */
-        LEASE_EXPIRED
+        LEASE_EXPIRED;
+
+        /** Returns whether a watch that failed for this reason fails again if it is repeated with the same revision. */
+        public boolean endsWatching() {
+            return this == COMPACTED || this == RESPONSE_TOO_LARGE;
+        }
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/BufferedExchange.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/BufferedExchange.java
@@ -35,7 +35,8 @@
      *
      * @param maxTime maximum time until the response is complete, after which the connection is closed
      * @param maxBytes maximum size of the response body, above which the connection is closed
-     * @return the response, or a failure with an {@link IOException} or a {@link TimeoutException}
+     * @return the response, or a failure with an {@link IOException}, which is a {@link ResponseTooLargeException} if the
+     *     response exceeds the limit, or a {@link TimeoutException}
      */
     public static CompletableFuture<Response> send(
             ChannelPool pool, EventLoop loop, FullHttpRequest request, Duration maxTime, int maxBytes) {
@@ -76,7 +77,7 @@
         if (tooLarge) {
             timeout.cancel(false);
             call.cancel();
-            result.completeExceptionally(new IOException("response exceeds the limit of " + maxBytes + " bytes"));
+            result.completeExceptionally(new ResponseTooLargeException(maxBytes));
         } else if (last) {
             timeout.cancel(false);
             result.complete(new Response(status, headers, ByteBufUtil.getBytes(body)));
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
@@ -25,8 +25,8 @@
  * Mirrors the store's keys by an initial read followed by watches for changes.
  *
  * <p>A watch that returns confirms that the copy contains everything written before the watch was sent, so it also
- * renews the {@link FreshnessLease} of the copy. When the history that a watch needs has been compacted, all keys are
- * read again and compared. While the store is unreachable, the copy is left unchanged.
+ * renews the {@link FreshnessLease} of the copy. When the history that a watch needs has been compacted or exceeds a
+ * response, all keys are read again and compared; a change that the copy already contains is not applied. While the store is unreachable, the copy is left unchanged.
  *
  * <p>One host of a region watches the store; the others are followers. The leader's reported revision and freshness
  * renew the lease of a follower that has this revision; a follower that is behind fetches the changes with a short
@@ -270,8 +270,15 @@
                 apply(changes);
                 renewFreshness(sentAt);
                 watchAgain(expectedGeneration, changes.changes().isEmpty());
-            } else if (reasonOf(failure) == AsyncStoreException.Reason.COMPACTED) {
-                log.stateChange("store_history_gone", "era", revision.era(), "revision", revision.number());
+            } else if (reasonOf(failure).endsWatching()) {
+                log.stateChange(
+                        "store_history_gone",
+                        "era",
+                        revision.era(),
+                        "revision",
+                        revision.number(),
+                        "reason",
+                        reasonOf(failure).name());
                 start();
             } else {
                 markUnreachable(failure);
@@ -344,12 +351,20 @@
     private void apply(StoreChanges changes) {
         for (StoreChanges.Change change : changes.changes()) {
             if (change.revision() > revision.number()) {
-                change.item().ifPresentOrElse(this::put, () -> remove(change.key()));
+                change.item().ifPresentOrElse(this::put, () -> applyRemoval(change));
             }
         }
         revision = changes.revision().isAfter(revision) ? changes.revision() : revision;
     }
 
+    /** Removes a key, unless a read that the removal precedes has found it written again. */
+    private void applyRemoval(StoreChanges.Change change) {
+        Known known = knownItems.get(change.key());
+        if (known == null || !known.revision().isAfter(new StoreRevision(eras.era(), change.revision()))) {
+            remove(change.key());
+        }
+    }
+
     private void put(StoreItem item) {
         StoreRevision itemRevision = new StoreRevision(eras.era(), item.revision());
         Known known = knownItems.get(item.key());
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/state/StoreMirrorTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/state/StoreMirrorTest.java
@@ -108,6 +108,41 @@
         assertThat(store.watchedFrom()).isEqualTo(9);
     }
 
+    /** A host sent the same watch again and again, and stayed behind: see docs/incidents/0015. */
+    @Test
+    void readsTheKeysIfTheChangesExceedTheSizeOfAResponse() {
+        store.page(false, 5, item("a", "1", 3), item("b", "2", 5));
+        store.fail(AsyncStoreException.Reason.RESPONSE_TOO_LARGE);
+        assertThat(unreachableCount).isZero();
+        store.page(true, 9, item("b", "3", 8));
+        store.page(false, 12, item("c", "4", 11));
+        assertThat(copy).isEqualTo(Map.of("b", "3", "c", "4"));
+        assertThat(store.watchedFrom()).isEqualTo(9);
+        store.changes(12, put("b", "old", 7), put("c", "older", 10), put("c", "4", 11), put("d", "5", 12));
+        assertThat(copy).isEqualTo(Map.of("b", "3", "c", "4", "d", "5"));
+    }
+
+    @Test
+    void readsTheKeysAfterADelayIfAPageExceedsTheSizeOfAResponse() {
+        store.fail(AsyncStoreException.Reason.RESPONSE_TOO_LARGE);
+        assertThat(store.pendingCalls()).as("calls during the retry delay").isZero();
+        advance();
+        store.page(false, 5, item("a", "1", 3));
+        assertThat(copy).isEqualTo(Map.of("a", "1"));
+    }
+
+    /** The pages of a read that changes overtake show some of them already: see docs/incidents/0015. */
+    @Test
+    void ignoresARemovalThatPrecedesTheValueThatWasRead() {
+        store.page(true, 5, item("a", "1", 3));
+        store.page(false, 8, item("b", "2", 8));
+        store.changes(6, removed("b", 6));
+        assertThat(copy).isEqualTo(Map.of("a", "1", "b", "2"));
+        advance();
+        store.changes(9, put("b", "2", 8), removed("b", 9));
+        assertThat(copy).isEqualTo(Map.of("a", "1"));
+    }
+
     @Test
     void keepsItsCopyWhileTheStoreIsUnreachableAndRetries() {
         store.page(false, 5, item("a", "1", 3));
