Bound the memory of request bodies, and take it as they arrive

What callers saw: while 32 callers a host sent bodies of 4 MiB, the configured limit, short requests and readiness checks got no answer for seconds, and long requests were dropped. Class of fault: an amount that callers choose takes a resource that everything shares, without a bound.

Change: BodyBudget (policy) grants 40 MiB to the bodies of all servers of a host, 28 MiB of them to bodies above 256 KiB. A request without memory gets 503, not run, Retry-After 1 s, behind its body, which is read and dropped. Why it works: the sum stays below the direct memory, and short bodies have 12 MiB that long ones can't take.

Ruled out: copies made when the bodies are sent on; the bound alone sufficed.

Not bounded in common: socket reads, responses that are copied to be written.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -30,6 +30,9 @@
     /** Retry delay of a host that is shutting down. It is short because the retry goes to another host. */
     private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(20);
 
+    /** Retry delay if there is no memory for a body; others take seconds to be sent and answered. */
+    private static final Duration MEMORY_RETRY_AFTER = Duration.ofSeconds(1);
+
     /** Maximum number of bytes of incomplete responses that a host buffers. */
     private static final long MAX_BUFFERED_RESPONSE_BYTES = 16L << 20;
 
@@ -100,12 +103,12 @@
 
     /** Returns the handler for requests from callers. */
     public RequestHandler callerHandler() {
-        return request -> serve(request, admission::admit, false);
+        return new Handler(admission::admit, false);
     }
 
     /** Returns the handler for requests forwarded by other hosts. */
     public RequestHandler hostHandler() {
-        return request -> serve(request, admission::admitForwarded, true);
+        return new Handler(admission::admitForwarded, true);
     }
 
     private void serve(InboundRequest request, Admitter admitter, boolean forwarded) {
@@ -123,6 +126,17 @@
         }
     }
 
+    private void refuseWithoutBody(InboundRequest request, boolean forwarded) {
+        Optional<String> id = Optional.empty();
+        try {
+            id = Optional.of(admission.readHead(request.head()).id());
+            throw new CallRefusedException(
+                    ErrorKind.OVERLOADED, MEMORY_RETRY_AFTER, "no memory is left for the body of the request");
+        } catch (CallRefusedException e) {
+            refuse(request, id, e, forwarded);
+        }
+    }
+
     private void refuse(InboundRequest request, Optional<String> id, CallRefusedException e, boolean forwarded) {
         ErrorKind kind = e.kind();
         FullHttpResponse response = context.dialect()
@@ -164,6 +178,28 @@
         }
     }
 
+    /** Handles requests from callers, or those that other hosts have forwarded. */
+    private final class Handler implements RequestHandler {
+
+        private final Admitter admitter;
+        private final boolean forwarded;
+
+        private Handler(Admitter admitter, boolean forwarded) {
+            this.admitter = admitter;
+            this.forwarded = forwarded;
+        }
+
+        @Override
+        public void handle(InboundRequest request) {
+            serve(request, admitter, forwarded);
+        }
+
+        @Override
+        public void refuseForMemory(InboundRequest request) {
+            refuseWithoutBody(request, forwarded);
+        }
+    }
+
     /** Admits a request. */
     private interface Admitter {
         AdmittedCall admit(HttpRequest request, CallHead head, long receivedAt) throws CallRefusedException;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -34,6 +34,7 @@
 import org.toucanlane.edge.state.StoreMirror;
 import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
+import org.toucanlane.policy.admission.BodyBudget;
 import org.toucanlane.policy.quarantine.SegmentQuarantine;
 
 /**
@@ -102,6 +103,7 @@
     private final CallService calls;
     private final HostDirectory directory;
     private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
+    private final BodyBudget bodyBudget = HttpServer.newBodyBudget();
     private HttpServer callerServer;
     private HttpServer peerServer;
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -230,7 +232,7 @@
      * @throws IOException if it can't be bound
      */
     public HttpServer listen(InetSocketAddress address, RequestHandler handler) throws IOException {
-        HttpServer server = HttpServer.bind(address, group, handler);
+        HttpServer server = HttpServer.bind(address, group, handler, bodyBudget);
         servers.add(server);
         return server;
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.toucanlane.domain.serving.CallerLimits;
+import org.toucanlane.policy.admission.BodyBudget;
 
 /**
  * An HTTP server on one listening address.
@@ -47,25 +48,52 @@
     /** Added to the idle time, so that a caller that uses all of it isn't disconnected by a late timer. */
     private static final Duration IDLE_MARGIN = Duration.ofSeconds(2);
 
+    /** Maximum size of a short body; long ones leave memory for these. */
+    private static final long MAX_SHORT_BODY_BYTES = 256 << 10;
+
+    /** Maximum size of all long bodies together; below the direct memory of the process. */
+    private static final long MAX_LONG_BODIES_BYTES = 28L << 20;
+
+    /** Maximum size of all bodies together; the direct memory beyond is for reads and writes. */
+    private static final long MAX_BODIES_BYTES = 40L << 20;
+
     private final RequestHandler handler;
+    private final BodyBudget bodyBudget;
     private final Set<ServerChannelHandler> connections = new HashSet<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
     private Channel channel;
     private ScheduledFuture<?> expiryTimer;
     private boolean draining;
 
-    private HttpServer(RequestHandler handler) {
+    private HttpServer(RequestHandler handler, BodyBudget bodyBudget) {
+        this.bodyBudget = Preconditions.checkNotNull(bodyBudget, "bodyBudget");
         this.handler = Preconditions.checkNotNull(handler, "handler");
     }
 
+    /** Returns a budget for the bodies of all servers of a process, which is used on one event loop only. */
+    public static BodyBudget newBodyBudget() {
+        return new BodyBudget(MAX_SHORT_BODY_BYTES, MAX_LONG_BODIES_BYTES, MAX_BODIES_BYTES);
+    }
+
     /**
-     * Binds a server to {@code address}.
+     * Binds a server with a body budget of its own to {@code address}.
      *
      * @throws IOException if the address can't be bound
      */
     public static HttpServer bind(InetSocketAddress address, EventLoopGroup loops, RequestHandler handler)
             throws IOException {
-        HttpServer server = new HttpServer(handler);
+        return bind(address, loops, handler, newBodyBudget());
+    }
+
+    /**
+     * Binds a server to {@code address}.
+     *
+     * @throws IOException if the address can't be bound
+     */
+    public static HttpServer bind(
+            InetSocketAddress address, EventLoopGroup loops, RequestHandler handler, BodyBudget bodyBudget)
+            throws IOException {
+        HttpServer server = new HttpServer(handler, bodyBudget);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
@@ -151,6 +179,10 @@
         return handler;
     }
 
+    BodyBudget bodyBudget() {
+        return bodyBudget;
+    }
+
     int maxBodyBytes() {
         return limits.maxBodyBytes();
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -32,7 +32,8 @@
  *
  * <p>Invariants: at most one request of the connection is being answered; messages that arrive meanwhile are queued in
  * {@code pending}. A request is not handled if its caller's close has arrived behind it, however long both have waited
- * to be read. Used on one event loop only.
+ * to be read. A body for which the server's {@link org.toucanlane.policy.admission.BodyBudget} has no memory is read and
+ * dropped, and its request refused. Used on one event loop only.
  */
 final class ServerChannelHandler extends ChannelInboundHandlerAdapter {
 
@@ -43,7 +44,10 @@
     private final Deque<HttpObject> pending = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private HttpRequest head;
+    /** Null while no request is being read, and if there is no memory for the body of {@code head}. */
     private ByteBuf body;
+
+    private long bodyBytes;
     private ChannelResponder activeResponder;
     private ChannelFuture lastResponseWrite;
     private boolean discardingInput;
@@ -117,20 +121,29 @@
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
         head = request;
-        body = length == 0 ? Unpooled.EMPTY_BUFFER : context.alloc().buffer((int) length);
+        bodyBytes = 0;
+        if (length == 0) {
+            body = Unpooled.EMPTY_BUFFER;
+        } else if (server.bodyBudget().resize(0, length)) {
+            body = new RequestBody(context.alloc(), server.bodyBudget(), length);
+        }
     }
 
     private void readContent(HttpContent content) {
         ByteBuf bytes = content.content();
-        if (body.readableBytes() + bytes.readableBytes() > server.maxBodyBytes()) {
+        bodyBytes += bytes.readableBytes();
+        if (bodyBytes > server.maxBodyBytes()) {
             reject(ServerRejection.Reason.BODY_TOO_LONG);
             return;
         }
-        if (bytes.isReadable()) {
+        if (bytes.isReadable() && body != null) {
             if (body == Unpooled.EMPTY_BUFFER) {
-                body = context.alloc().buffer(bytes.readableBytes());
+                body = new RequestBody(context.alloc(), server.bodyBudget(), 0);
+            }
+            if (!((RequestBody) body).append(bytes)) {
+                body.release();
+                body = null;
             }
-            body.writeBytes(bytes);
         }
         if (content instanceof LastHttpContent) {
             dispatch();
@@ -139,7 +152,8 @@
 
     private void dispatch() {
         HttpRequest request = head;
-        ByteBuf fullBody = body;
+        boolean complete = body != null;
+        ByteBuf fullBody = complete ? body : Unpooled.EMPTY_BUFFER;
         head = null;
         body = null;
         ChannelResponder responder = new ChannelResponder(HttpUtil.isKeepAlive(request));
@@ -147,13 +161,17 @@
         InboundRequest inbound = new InboundRequest(request, fullBody, responder, System.nanoTime());
         // Runs after the read loop, which reads up to the end of what has arrived and so notices a caller that has
         // left.
-        context.channel().eventLoop().execute(() -> handle(inbound));
+        context.channel().eventLoop().execute(() -> handle(inbound, complete));
     }
 
-    private void handle(InboundRequest inbound) {
+    private void handle(InboundRequest inbound, boolean complete) {
         if (context.channel().isActive()) {
             try {
-                server.handler().handle(inbound);
+                if (complete) {
+                    server.handler().handle(inbound);
+                } else {
+                    server.handler().refuseForMemory(inbound);
+                }
             } catch (RuntimeException e) {
                 // Nothing else would end the request. The event loop logs the failure.
                 context.close();
