--- a/toucanlane-platform/src/test/java/org/toucanlane/platform/http/LateCopyTest.java
+++ b/toucanlane-platform/src/test/java/org/toucanlane/platform/http/LateCopyTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Tests that a copy of an earlier response, whole or in part, isn't taken for the next one: see docs/incidents/0013. */
@@ -100,6 +101,28 @@
         assertThat(wrong).isEmpty();
     }
 
+    /** Both come in response to the same request. */
+    @ParameterizedTest
+    @EnumSource(Client.class)
+    void doesNotJoinABrokenOffResponseWithTheNext(Client client) throws Exception {
+        List<String> wrong = new ArrayList<>();
+        for (int size = 1; size < STALE.indexOf("\r\n\r\n") + 4; size++) {
+            String brokenOff = STALE.substring(0, size);
+            ScriptedServer.Script script = (exchange, out) -> {
+                out.write(brokenOff + NEXT);
+                out.close();
+            };
+            try (ScriptedServer server = new ScriptedServer(script);
+                    Client.Caller caller = client.open(server.address())) {
+                String outcome = caller.send();
+                if (!outcome.startsWith(Client.Caller.FAILED)) {
+                    wrong.add(size + " bytes: " + outcome);
+                }
+            }
+        }
+        assertThat(wrong).isEmpty();
+    }
+
     private static void pause() throws IOException {
         try {
             TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
