Log how long after the stop of its host a request came

The lines of requests couldn't distinguish the hypotheses: they have no moment relative to the stop, so that the lines of several processes had to be compared by their clocks.

Change: after_stop_ms in the line of each request's end or refusal, -1 for requests that came before the stop. With attempts and from it tells requests that were taken late, requests that were sent again late, and requests that other hosts forwarded.

No request is treated differently by this commit. Run: HostExitTest (3) and HostDrainTest pass.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -488,6 +488,8 @@
                         longestGapMillis,
                         "total_ms",
                         elapsedMillis(),
+                        "after_stop_ms",
+                        context.gracePeriod().millisUntil(inbound.receivedAt()),
                         "cause",
                         lastCause);
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallContext.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallContext.java
@@ -26,6 +26,7 @@
  * @param crashDetector detects crashes of endpoints
  * @param responseBuffers memory for incomplete responses
  * @param repeatableCalls requests in progress that may be sent again if they stall
+ * @param gracePeriod the time that requests have left once the host is stopping
  * @param log decision log
  * @param metrics counters and histograms
  * @param hostName name of this host
@@ -41,6 +42,7 @@
         CrashDetector crashDetector,
         ResponseBuffers responseBuffers,
         Set<Call> repeatableCalls,
+        GracePeriod gracePeriod,
         DecisionLog log,
         CallMetrics metrics,
         String hostName) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -78,6 +78,7 @@
                 new CrashDetector(loop, log, new PoolCheck(), quarantine::recordCrash, quarantine::recordSurvival),
                 new ResponseBuffers(MAX_BUFFERED_RESPONSE_BYTES),
                 new LinkedHashSet<>(),
+                new GracePeriod(),
                 log,
                 metrics,
                 location.host());
@@ -93,6 +94,11 @@
         List.copyOf(context.repeatableCalls()).forEach(call -> call.sendAlternativeIfStalled(now));
     }
 
+    /** Begins the grace period, after which the requests that are still running are ended. */
+    public void beginGracePeriod(Duration length) {
+        context.gracePeriod().begin(System.nanoTime(), length);
+    }
+
     /** Refuses all new requests; requests in progress continue. */
     public void refuseNewRequests() {
         closed = true;
@@ -141,6 +147,8 @@
                         kind.status(),
                         "retry_after_ms",
                         e.retryAfter().toMillis(),
+                        "after_stop_ms",
+                        context.gracePeriod().millisUntil(request.receivedAt()),
                         "cause",
                         String.valueOf(e.getMessage()));
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -315,12 +315,13 @@
             return;
         }
         log.stateChange("host_stopping", "host", settings.self().name());
-        HostDrain drain = new HostDrain(
-                loop, servers, MIN_DRAIN_TIME, settings.gracePeriod().minus(EXIT_MARGIN));
+        Duration maxTime = settings.gracePeriod().minus(EXIT_MARGIN);
+        HostDrain drain = new HostDrain(loop, servers, MIN_DRAIN_TIME, maxTime);
         loop.execute(() -> {
             directory.markDraining();
             lease.end();
             callerServer.startDraining();
+            calls.beginGracePeriod(maxTime);
             draining = true;
             loop.schedule(calls::refuseNewRequests, DRAIN_ACCEPT_TIME.toMillis(), TimeUnit.MILLISECONDS);
             drain.start();
