Refuse requests that a stopping host can't end within its grace period

Cause: a host took every request up to a fixed time after the signal (2.8 s), and nothing compared the rest of the grace period with the request. Class of fault: a fixed time in place of a decision. The same in two more places: a failed request was sent again however late, and forwarded requests were taken under the same fixed time.

Evidence: LateRequestTest on the code before, grace period 8 s, 5.7 s of work: of 12 requests sent from 2.2 s on (3 of each of four kinds of route, one of the 3 by another host) 6 got 504 and 6 streams were cut. A repeatable request that failed at one endpoint 0.4 s after its start, after the signal, was sent again and got 504 at the end of the grace period.

Change: DrainPolicy takes a request if its deadline, or the time that it is expected to take, is before the end of the grace period. ResponseTimes expects the longest of the last complete responses of the route and service that are nearest in size (output tokens), with a margin of a quarter; at most 128 responses of 128 kinds are kept. DrainCheck applies it to each attempt of a request whose response hasn't begun, forwarded or not. A refusal is 503 "leaving" with a Retry-After of 20 ms; what the account was charged is given back (by reading; not tested). A failure that may have run isn't sent again if it doesn't fit: its caller gets the endpoint's own response, or 502, never "not run". Running requests, streams that have begun and alternatives to a silent attempt, which can't be taken back, are unchanged, as is the bound of 2.8 s; its refusals are now of the kind "leaving" instead of "not_ready".

Requests of unknown duration whose deadline doesn't fit are refused: a refusal costs one repeat at another host, and a request that is cut after it may have run can't be repeated if it may run only once.

After: all 12 got 503 within a second and none reached the endpoint; 12 of 12 requests that fit (8 by what the host had learned, 4 by their deadline) were served. DrainPolicyTest (9), HostTest (29), HostExitTest (3), RestartSoakTest (2) and HostDrainTest (1) pass. No existing test was changed.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -98,6 +98,7 @@
 
     private void sendToNextUpstream() {
         try {
+            context.drainCheck().check(admitted, responseStarted || attempts.isActive());
             context.quarantineCheck().check(crashSuspects.ids());
             Destination destination = context.router().choose(admitted, triedUpstreams);
             estimateMillis = destination.estimateMillis();
@@ -349,7 +350,9 @@
     }
 
     private boolean shouldRetry(RetryPolicy.FailureKind kind) {
-        return RetryPolicy.shouldRetry(failure(kind), context.retryBudgets().forService(admitted.service()));
+        return (kind != RetryPolicy.FailureKind.MAY_HAVE_RUN
+                        || context.drainCheck().allows(admitted, responseStarted))
+                && RetryPolicy.shouldRetry(failure(kind), context.retryBudgets().forService(admitted.service()));
     }
 
     private RetryPolicy.Failure failure(RetryPolicy.FailureKind kind) {
@@ -456,6 +459,7 @@
         finished = true;
         context.repeatableCalls().remove(this);
         if (status == HttpResponseStatus.OK.code()) {
+            context.drainCheck().recordResponse(admitted, elapsedMillis());
             context.metrics().recordTotalTime(admitted.route().name(), accountName(), elapsedMillis());
         }
         deadlineTimer.cancel(false);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallContext.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallContext.java
@@ -27,6 +27,7 @@
  * @param responseBuffers memory for incomplete responses
  * @param repeatableCalls requests in progress that may be sent again if they stall
  * @param gracePeriod the time that requests have left once the host is stopping
+ * @param drainCheck refuses requests that wouldn't end in that time
  * @param log decision log
  * @param metrics counters and histograms
  * @param hostName name of this host
@@ -43,6 +44,7 @@
         ResponseBuffers responseBuffers,
         Set<Call> repeatableCalls,
         GracePeriod gracePeriod,
+        DrainCheck drainCheck,
         DecisionLog log,
         CallMetrics metrics,
         String hostName) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -27,9 +27,6 @@
 /** Serves requests from callers and requests forwarded by other hosts. Used on the host's event loop only. */
 public final class CallService {
 
-    /** Retry delay of a host that is shutting down. It is short because the retry goes to another host. */
-    private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(20);
-
     /** Maximum number of bytes of incomplete responses that a host buffers. */
     private static final long MAX_BUFFERED_RESPONSE_BYTES = 16L << 20;
 
@@ -67,6 +64,7 @@
                 state.responsive(),
                 RandomGenerator.of("L64X128MixRandom"));
         SegmentQuarantine quarantine = state.quarantine();
+        GracePeriod gracePeriod = new GracePeriod();
         CallContext context = new CallContext(
                 loop,
                 dialect,
@@ -78,7 +76,8 @@
                 new CrashDetector(loop, log, new PoolCheck(), quarantine::recordCrash, quarantine::recordSurvival),
                 new ResponseBuffers(MAX_BUFFERED_RESPONSE_BYTES),
                 new LinkedHashSet<>(),
-                new GracePeriod(),
+                gracePeriod,
+                new DrainCheck(gracePeriod),
                 log,
                 metrics,
                 location.host());
@@ -94,7 +93,10 @@
         List.copyOf(context.repeatableCalls()).forEach(call -> call.sendAlternativeIfStalled(now));
     }
 
-    /** Begins the grace period, after which the requests that are still running are ended. */
+    /**
+     * Begins the grace period, after which the requests that are still running are ended. New requests that aren't expected
+     * to end in it are refused.
+     */
     public void beginGracePeriod(Duration length) {
         context.gracePeriod().begin(System.nanoTime(), length);
     }
@@ -120,7 +122,7 @@
             CallHead head = admission.readHead(request.head());
             id = Optional.of(head.id());
             if (closed) {
-                throw new CallRefusedException(ErrorKind.NOT_READY, STOPPING_RETRY_AFTER, "this host is shutting down");
+                throw new CallRefusedException(ErrorKind.LEAVING, DrainCheck.RETRY_AFTER, "this host is shutting down");
             }
             new Call(context, request, admitter.admit(request.head(), head, request.receivedAt())).start();
         } catch (CallRefusedException e) {
