Answer requests whose bodies are incomplete at the end of the grace period

Cause: only requests that had been handed to their handler were ended with an answer; a connection that is still reading a body has none. Class of fault: a state that the end of the process doesn't cover.

Change: such a request is rejected with 503 and Connection: close; it was never handed on, so that it has not run.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -209,9 +209,14 @@
         return activeResponder != null || head != null || (lastResponseWrite != null && !lastResponseWrite.isDone());
     }
 
-    /** Ends the request in progress with the response that its handler has for it now. */
+    /**
+     * Ends the request in progress with the response that its handler has for it now, or rejects it if it hasn't arrived
+     * completely.
+     */
     void endRequest() {
-        if (activeResponder != null && activeResponder.listener != null) {
+        if (activeResponder == null && head != null) {
+            reject(ServerRejection.Reason.CLOSING);
+        } else if (activeResponder != null && activeResponder.listener != null) {
             activeResponder.listener.onServerClosing();
         }
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerRejection.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerRejection.java
@@ -17,7 +17,9 @@
         /** The body is too long. */
         BODY_TOO_LONG(413),
         /** The request did not arrive in time. */
-        TOO_SLOW(408);
+        TOO_SLOW(408),
+        /** The server closes before the request has arrived completely. */
+        CLOSING(503);
 
         private final int status;
 
