--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -27,9 +27,6 @@
 /** Serves requests from callers and requests forwarded by other hosts. Used on the host's event loop only. */
 public final class CallService {
 
-    /** Retry delay of a host that is shutting down. It is short because the retry goes to another host. */
-    private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(20);
-
     /** Retry delay if there is no memory for a body; others take seconds to be sent and answered. */
     private static final Duration MEMORY_RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -70,6 +67,7 @@
                 state.responsive(),
                 RandomGenerator.of("L64X128MixRandom"));
         SegmentQuarantine quarantine = state.quarantine();
+        GracePeriod gracePeriod = new GracePeriod();
         CallContext context = new CallContext(
                 loop,
                 dialect,
@@ -81,6 +79,8 @@
                 new CrashDetector(loop, log, new PoolCheck(), quarantine::recordCrash, quarantine::recordSurvival),
                 new ResponseBuffers(MAX_BUFFERED_RESPONSE_BYTES),
                 new LinkedHashSet<>(),
+                gracePeriod,
+                new DrainCheck(gracePeriod),
                 log,
                 metrics,
                 location.host());
@@ -96,6 +96,14 @@
         List.copyOf(context.repeatableCalls()).forEach(call -> call.sendAlternativeIfStalled(now));
     }
 
+    /**
+     * Begins the grace period, after which the requests that are still running are ended. New requests that aren't expected
+     * to end in it are refused.
+     */
+    public void beginGracePeriod(Duration length) {
+        context.gracePeriod().begin(System.nanoTime(), length);
+    }
+
     /** Refuses all new requests; requests in progress continue. */
     public void refuseNewRequests() {
         closed = true;
@@ -117,7 +125,7 @@
             CallHead head = admission.readHead(request.head());
             id = Optional.of(head.id());
             if (closed) {
-                throw new CallRefusedException(ErrorKind.NOT_READY, STOPPING_RETRY_AFTER, "this host is shutting down");
+                throw new CallRefusedException(ErrorKind.LEAVING, DrainCheck.RETRY_AFTER, "this host is shutting down");
             }
             new Call(context, request, admitter.admit(request.head(), head, request.receivedAt())).start();
         } catch (CallRefusedException e) {
@@ -155,6 +163,8 @@
                         kind.status(),
                         "retry_after_ms",
                         e.retryAfter().toMillis(),
+                        "after_stop_ms",
+                        context.gracePeriod().millisUntil(request.receivedAt()),
                         "cause",
                         String.valueOf(e.getMessage()));
     }
