Log and count the alternatives to silent attempts

Nothing showed how often an alternative to a silent attempt is sent, how long both attempts run, and whether the service is overloaded then. The event alternative_ended and the timer toucanlane_alternative_seconds tell it, by how the pair ended. No decision changes.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/AttemptGroup.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/AttemptGroup.java
@@ -21,20 +21,23 @@
 final class AttemptGroup {
 
     private final Listener listener;
+    private final AlternativeLog alternativeLog;
     private final List<Attempt> attempts = new ArrayList<>();
     private Attempt current;
     private Attempt alternative;
     private Upstream latest;
     private boolean streamStarted;
     private long lastEvent;
+    private long lastProgressNanos;
 
     /**
      * Creates a group without attempts.
      *
      * @param lastEvent id of the last event that the caller has received, or -1
      */
-    AttemptGroup(long lastEvent, Listener listener) {
+    AttemptGroup(long lastEvent, AlternativeLog alternativeLog, Listener listener) {
         this.lastEvent = lastEvent;
+        this.alternativeLog = alternativeLog;
         this.listener = listener;
     }
 
@@ -51,8 +54,10 @@
         if (current == null) {
             current = attempt;
             latest = attempt.upstream();
+            lastProgressNanos = System.nanoTime();
         } else {
             alternative = attempt;
+            alternativeLog.recordSent(current.upstream(), attempt.upstream(), lastProgressNanos);
         }
         return attempt;
     }
@@ -91,15 +96,16 @@
 
     /** Cancels the attempts in progress without notifying the listener. */
     void cancel() {
-        cancelAlternative();
+        cancelAlternative(AlternativeLog.Result.CANCELLED);
         if (current != null) {
             current.cancel();
             current = null;
         }
     }
 
-    private void cancelAlternative() {
+    private void cancelAlternative(AlternativeLog.Result result) {
         if (alternative != null) {
+            alternativeLog.recordEnd(result);
             alternative.cancel();
             alternative = null;
         }
@@ -114,10 +120,11 @@
     /** Cancels the attempt other than {@code winner}, which goes on as the current one. */
     private void proceedWith(Attempt winner) {
         if (winner == alternative) {
+            alternativeLog.recordEnd(AlternativeLog.Result.ALTERNATIVE_ANSWERED);
             current.abandonStalled();
             replaceCurrent();
         } else {
-            cancelAlternative();
+            cancelAlternative(AlternativeLog.Result.SILENT_ANSWERED);
         }
     }
 
@@ -130,10 +137,12 @@
     /** Removes a failed attempt and returns whether another one goes on. */
     private boolean remove(Attempt failed) {
         if (failed == alternative) {
+            alternativeLog.recordEnd(AlternativeLog.Result.ALTERNATIVE_FAILED);
             alternative = null;
             return true;
         }
         if (alternative != null) {
+            alternativeLog.recordEnd(AlternativeLog.Result.SILENT_FAILED);
             replaceCurrent();
             return true;
         }
@@ -150,6 +159,7 @@
         public void onEvents(HttpResponse head, ByteBuf events, long lastId) {
             if (lastId > lastEvent) {
                 lastEvent = lastId;
+                lastProgressNanos = System.nanoTime();
                 proceedWith(attempt);
             } else if (attempt == alternative) {
                 // Comments and other events without an id are no answer yet.
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -73,7 +73,7 @@
         this.admitted = admitted;
         this.crashSuspects = CrashSuspects.of(inbound, admitted);
         admitted.head().lastEventId().ifPresent(this::resumeAfter);
-        this.attempts = new AttemptGroup(lastEvent, this);
+        this.attempts = new AttemptGroup(lastEvent, new AlternativeLog(context, admitted), this);
     }
 
     private void resumeAfter(String id) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -157,6 +157,11 @@
                 overloadTracker.overloadDuration(call.service(), System.nanoTime()));
     }
 
+    /** Returns for how long this host has been refusing requests for {@code service}, or zero if it isn't. */
+    Duration overloadDuration(String service, long now) {
+        return overloadTracker.overloadDuration(service, now);
+    }
+
     private static AdmissionLimit limitFor(AdmittedCall call) {
         return new AdmissionLimit(call.routeBounds().minLatencyObjective(), call.rank());
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/telemetry/CallMetrics.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/telemetry/CallMetrics.java
@@ -122,6 +122,16 @@
                 .increment();
     }
 
+    /** Records the time for which an attempt and its alternative were both in progress. */
+    public void recordAlternative(String service, String result, long nanos) {
+        Timer.builder("toucanlane.alternative")
+                .description("time for which a silent attempt and its alternative were both in progress")
+                .tag("service", service)
+                .tag("result", result)
+                .register(registry)
+                .record(nanos, TimeUnit.NANOSECONDS);
+    }
+
     /** Registers a gauge whose value is read at each scrape. */
     public void registerGauge(String name, String description, Supplier<Number> value) {
         Gauge.builder(name, value).description(description).register(registry);
