--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -44,6 +44,7 @@
     private final Deque<HttpObject> pending = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private HttpRequest head;
+
     /** Null while no request is being read, and if there is no memory for the body of {@code head}. */
     private ByteBuf body;
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
@@ -26,7 +26,8 @@
  *
  * <p>A watch that returns confirms that the copy contains everything written before the watch was sent, so it also
  * renews the {@link FreshnessLease} of the copy. When the history that a watch needs has been compacted or exceeds a
- * response, all keys are read again and compared; a change that the copy already contains is not applied. While the store is unreachable, the copy is left unchanged.
+ * response, all keys are read again and compared; a change that the copy already contains is not applied. While the store
+ * is unreachable, the copy is left unchanged.
  *
  * <p>One host of a region watches the store; the others are followers. The leader's reported revision and freshness
  * renew the lease of a follower that has this revision; a follower that is behind fetches the changes with a short
