Count no answer if a connection is lost while another response is skipped

Callers saw nothing by this alone: an endpoint whose connection was lost within a late copy counted as lost while it answered, which the detector of crashes weighs differently.

Cause: the state of receiving also holds while a response to another request is skipped. Change: the stage of a failure is ANSWERING only within the answer itself.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -290,7 +290,7 @@
 
     private void fail(Throwable cause) {
         ExchangeListener receiver = listener;
-        boolean wasReceiving = receivingResponse;
+        boolean wasReceiving = receivingResponse && !mismatched;
         listener = null;
         receivingResponse = false;
         close();
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/http/MergedHeadTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/http/MergedHeadTest.java
@@ -16,6 +16,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -24,13 +25,17 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -52,6 +57,8 @@
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
+    private final BlockingQueue<ResponseFault> faults = new LinkedBlockingQueue<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private ServerSocket server;
     private volatile Script script;
 
@@ -151,6 +158,7 @@
             while (true) {
                 Socket socket = server.accept();
                 socket.setTcpNoDelay(true);
+                sockets.add(socket);
                 startThread(() -> serve(socket));
             }
         });
@@ -198,7 +206,7 @@
     private ChannelPool pool() {
         PoolSettings settings = new PoolSettings(TIMEOUT, TIMEOUT, 1, MAX_HEADER_BYTES);
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
-        return new ChannelPool(address, loop, settings, (fault, exchange, detail) -> {});
+        return new ChannelPool(address, loop, settings, (fault, exchange, detail) -> faults.add(fault));
     }
 
     private static FullHttpRequest request(String id) {
@@ -254,6 +262,30 @@
         assertThat(wrong).isEmpty();
     }
 
+    /** A response to another request was taken for a part of the answer when the connection was lost. */
+    @Test
+    void reportsNoAnswerIfTheConnectionIsLostWithinACopy() throws Exception {
+        String first = Framing.LENGTH.response(200, "first");
+        String copy = first.replace("Length: 5", "Length: 50");
+        script = new Script(Time.BEFORE_THE_NEXT_RESPONSE, first, copy, "");
+        ChannelPool pool = pool();
+        assertThat(send(pool, "first")).isEqualTo("200 right");
+        CompletableFuture<String> outcome = new CompletableFuture<>();
+        loop.execute(() -> pool.send(request("next"), new Listener("next", outcome)));
+        assertThat(faults.poll(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)).isEqualTo(ResponseFault.OTHER_REQUEST);
+        sockets.forEach(MergedHeadTest::reset);
+        assertThat(outcome.get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)).startsWith("failed SENT");
+    }
+
+    private static void reset(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** The store's responses name no request, so only the head itself tells that it is one of two. */
     @ParameterizedTest
     @MethodSource("cases")
