Accept a header with a protocol and an address on the daemon

Callers of the daemon would have got no answer from an endpoint or a service whose heads have "Via: HTTP/1.1 127.0.0.1": the check for merged heads took the first three digits of the address for a status.

--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/http/MergedHeadTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/http/MergedHeadTest.java
@@ -77,7 +77,8 @@
 
         private String head(int status, String id) {
             return "HTTP/1.1 " + status + " Some Reason\r\nDate: Sat, 05 Dec 2026 13:30:20 GMT\r\nX-Request-Id: " + id
-                    + "\r\nX-Response-Seal: s\r\nX-Load : 3\r\nX-Time\t: 4\r\nX-List: a\r\n b\r\n" + header
+                    + "\r\nX-Response-Seal: s\r\nX-Load : 3\r\nVia: HTTP/1.1 127.0.0.1\r\nX-Time\t: 4\r\nX-List: a\r\n b\r\n"
+                    + header
                     + "\r\nServer: engine\r\n\r\n";
         }
 
--- a/toucanlane-platform/src/main/java/org/toucanlane/platform/http/ResponseHeadParser.java
+++ b/toucanlane-platform/src/main/java/org/toucanlane/platform/http/ResponseHeadParser.java
@@ -27,7 +27,7 @@
     /** Maximum number of informational (1xx) responses in a row. */
     private static final int MAX_INFORMATIONAL_RESPONSES = 8;
 
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d\\s+\\d{3}");
+    private static final Pattern STATUS_LINE = Pattern.compile("(?i)HTTP/\\d\\.\\d\\s+\\d{3}(?!\\S)");
 
     private int informationalCount;
 
--- a/toucanlane-platform/src/test/java/org/toucanlane/platform/http/LateCopyTest.java
+++ b/toucanlane-platform/src/test/java/org/toucanlane/platform/http/LateCopyTest.java
@@ -17,7 +17,7 @@
 class LateCopyTest {
 
     private static final String STALE =
-            "HTTP/1.1 200 Some Reason\r\nX-Revision: 7\r\nServer: engine\r\nContent-Length: 2\r\n\r\n[]";
+            "HTTP/1.1 200 Some Reason\r\nX-Revision: 7\r\nVia: HTTP/1.1 127.0.0.1\r\nContent-Length: 2\r\n\r\n[]";
     private static final String NEXT = "HTTP/1.1 500 X\r\nX-Revision: 8\r\nContent-Length: 5\r\n\r\nerror";
     private static final int PAUSE_MILLIS = 2;
 
