--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -3,24 +3,18 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.toucanlane.domain.outcome.ErrorKind;
-import org.toucanlane.domain.serving.ServingService;
 import org.toucanlane.edge.fleet.EndpointHandle;
 import org.toucanlane.edge.fleet.Fleet;
 import org.toucanlane.edge.fleet.HostHandle;
-import org.toucanlane.edge.fleet.RequestLimit;
 import org.toucanlane.policy.admission.AdmissionLimit;
 import org.toucanlane.policy.admission.LoadShedder;
 import org.toucanlane.policy.placement.EndpointPlacer;
-import org.toucanlane.policy.placement.EndpointRateShare;
 import org.toucanlane.policy.placement.Placement;
 import org.toucanlane.policy.placement.PlacementCandidate;
 import org.toucanlane.policy.placement.PromptSize;
@@ -33,29 +27,19 @@
  */
 final class Router {
 
-    /** Latency added by forwarding to another region: a round trip between two distant hosts. */
-    private static final double INTER_REGION_ROUND_TRIP_MILLIS = 130;
-
-    /** Cost of forwarding to another region in milliseconds: the round trip, and a margin for the traffic. */
-    private static final double REMOTE_DISTANCE_MILLIS = INTER_REGION_ROUND_TRIP_MILLIS + 40;
-
     /** Retry delay if no endpoint is available; time for one to recover or for another to register. */
     private static final Duration NO_ENDPOINT_RETRY_AFTER = Duration.ofMillis(500);
 
     /** Retry delay if all endpoints are cold. */
     private static final Duration COLD_RETRY_AFTER = Duration.ofMillis(400);
 
-    /** Time without new requests to a region that has refused one; its next reports arrive within it. */
-    private static final Duration REFUSING_REGION_BACKOFF = Duration.ofMillis(250);
-
     private final Fleet fleet;
-    private final String hostName;
     private final String region;
-    private final Predicate<HostHandle> responsive;
     private final RandomGenerator random;
     private final OverloadTracker overloadTracker = new OverloadTracker();
     private final CandidateFinder candidateFinder;
-    private final Map<RegionService, Long> backoffUntil = new HashMap<>();
+    private final EndpointRates rates;
+    private final RemoteRegions remoteRegions;
 
     /**
      * Creates a router.
@@ -66,11 +50,11 @@
      */
     Router(Fleet fleet, String hostName, String region, Predicate<HostHandle> responsive, RandomGenerator random) {
         this.fleet = fleet;
-        this.hostName = hostName;
         this.region = region;
-        this.responsive = responsive;
         this.random = random;
         this.candidateFinder = new CandidateFinder(fleet);
+        this.rates = new EndpointRates(fleet, hostName, region);
+        this.remoteRegions = new RemoteRegions(fleet, region, candidateFinder, responsive, random);
     }
 
     /**
@@ -106,9 +90,9 @@
     private Optional<Destination> findBest(AdmittedCall call, Set<String> tried, long now) {
         List<PlacementCandidate> candidates = new ArrayList<>(localCandidates(call, tried, now));
         Optional<Placement> choice = place(call, candidates);
-        boolean fastEnough = choice.isPresent() && choice.get().costMillis() <= REMOTE_DISTANCE_MILLIS;
+        boolean fastEnough = choice.isPresent() && choice.get().costMillis() <= RemoteRegions.DISTANCE_MILLIS;
         if (call.forwardedBy().isEmpty() && !fastEnough) {
-            candidates.addAll(remoteCandidates(call, tried, now));
+            candidates.addAll(remoteRegions.candidates(call, tried, now));
             choice = place(call, candidates);
         }
         return choice.flatMap(placement -> destination(placement, tried));
@@ -129,11 +113,9 @@
             if (isLocal(endpoint)) {
                 return Optional.of(new Destination.Local(endpoint, placement));
             }
-            List<HostHandle> hosts = reachableHosts(fleet.regionOf(endpoint), tried);
-            return hosts.isEmpty()
-                    ? Optional.empty()
-                    : Optional.of(new Destination.Remote(
-                            hosts.get(random.nextInt(hosts.size())), placement, INTER_REGION_ROUND_TRIP_MILLIS));
+            return remoteRegions
+                    .chooseHost(fleet.regionOf(endpoint), tried)
+                    .map(host -> new Destination.Remote(host, placement, RemoteRegions.ROUND_TRIP_MILLIS));
         });
     }
 
@@ -213,7 +195,7 @@
 
     private Duration requestedDelay(EndpointHandle endpoint, long now) {
         Duration pause = endpoint.remainingPause(now);
-        Duration limitDelay = limitDelay(endpoint, now);
+        Duration limitDelay = rates.limitDelay(endpoint, now);
         return pause.compareTo(limitDelay) >= 0 ? pause : limitDelay;
     }
 
@@ -227,60 +209,15 @@
                         call,
                         region,
                         0,
-                        endpoint -> endpoint.isUsable(now)
-                                && !tried.contains(endpoint.id())
-                                && hasColdCapacity(endpoint, now)
-                                && limitDelay(endpoint, now).isZero(),
+                        endpoint ->
+                                endpoint.isUsable(now) && !tried.contains(endpoint.id()) && rates.allow(endpoint, now),
                         now)
                 : List.of();
     }
 
-    private boolean hasColdCapacity(EndpointHandle endpoint, long now) {
-        return !endpoint.isCold(now)
-                || coldRate(endpoint, now)
-                        .map(rate -> endpoint.hasColdCapacity(rate, now))
-                        .orElse(true);
-    }
-
-    /**
-     * Returns this host's share of the request rate allowed for a cold endpoint, or empty if its service has no such
-     * limit.
-     */
-    private Optional<EndpointRateShare> coldRate(EndpointHandle endpoint, long now) {
-        return fleet.configuration()
-                .flatMap(current -> current.service(endpoint.entry().service()))
-                .map(ServingService::coldStartRequestsPerSecond)
-                .filter(perSecond -> perSecond > 0)
-                .map(perSecond -> shareOf(endpoint, perSecond, now));
-    }
-
-    /** Returns this host's share of a rate that {@code endpoint}, which is in this region, takes from all hosts. */
-    private EndpointRateShare shareOf(EndpointHandle endpoint, double requestsPerSecond, long now) {
-        List<String> others = fleet.hostsSharingRates(region, now);
-        return EndpointRateShare.of(hostName, others, endpoint.id(), requestsPerSecond);
-    }
-
-    /** Returns the time until the limit that {@code endpoint} has named allows a request; zero if it does now. */
-    private Duration limitDelay(EndpointHandle endpoint, long now) {
-        RequestLimit limit = endpoint.requestLimit();
-        OptionalDouble rate = limit.allowedRate();
-        return rate.isEmpty()
-                ? Duration.ZERO
-                : limit.delay(shareOf(endpoint, rate.getAsDouble(), now), now, timeOfDay());
-    }
-
-    private static Duration timeOfDay() {
-        return Duration.ofMillis(System.currentTimeMillis());
-    }
-
     /** Counts a request against the limits on the rate of requests to {@code endpoint}. */
     void recordSend(EndpointHandle endpoint) {
-        long now = System.nanoTime();
-        if (endpoint.isCold(now)) {
-            coldRate(endpoint, now).ifPresent(rate -> endpoint.recordColdRequest(rate, now));
-        }
-        RequestLimit limit = endpoint.requestLimit();
-        limit.allowedRate().ifPresent(rate -> limit.recordRequest(shareOf(endpoint, rate, now), now, timeOfDay()));
+        rates.recordSend(endpoint, System.nanoTime());
     }
 
     /** Returns the endpoint with this name, or empty if {@code name} is unknown or the name of a host. */
@@ -290,10 +227,7 @@
 
     /** Records that a host in another region has refused a request for {@code service}. */
     void recordRefusal(String host, String service) {
-        fleet.host(host)
-                .ifPresent(known -> backoffUntil.put(
-                        new RegionService(known.entry().region(), service),
-                        System.nanoTime() + REFUSING_REGION_BACKOFF.toNanos()));
+        remoteRegions.recordRefusal(host, service, System.nanoTime());
     }
 
     /**
@@ -304,33 +238,4 @@
     void recordPause(EndpointHandle endpoint, double pauseToTarget) {
         candidateFinder.recordPause(endpoint, pauseToTarget);
     }
-
-    private record RegionService(String region, String service) {}
-
-    private List<PlacementCandidate> remoteCandidates(AdmittedCall call, Set<String> tried, long now) {
-        return fleet.hosts().stream()
-                .map(host -> host.entry().region())
-                .distinct()
-                .filter(other -> !other.equals(region)
-                        && call.mayRunIn(other)
-                        && backoffUntil.getOrDefault(new RegionService(other, call.service()), now) - now <= 0
-                        && !reachableHosts(other, tried).isEmpty())
-                .flatMap(other -> candidateFinder
-                        .find(
-                                call,
-                                other,
-                                REMOTE_DISTANCE_MILLIS,
-                                endpoint -> endpoint.isUsableElsewhere(now) && !endpoint.isCold(now),
-                                now)
-                        .stream())
-                .toList();
-    }
-
-    private List<HostHandle> reachableHosts(String other, Set<String> tried) {
-        return fleet.hosts().stream()
-                .filter(host -> host.entry().region().equals(other)
-                        && responsive.test(host)
-                        && !tried.contains(host.entry().name()))
-                .toList();
-    }
 }
