Take changes of the store from the host of the region that watches it

Cause: one host of a region watches the store, and the others hear from its reports that they are behind; each of them then read the change from the store itself. A change cost as many calls as there are hosts.

Change: a follower asks the watching host for the changes after its revision, over the connections for forwarded requests; without a complete answer it reads the store as before. Proofs don't travel this way.

PeerCatchUpTest, ChangeLogTest, StoreMirrorTest, HostLeaseTest, GossipTest pass.

--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/store/AsyncStoreException.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/store/AsyncStoreException.java
@@ -1,5 +1,7 @@
 package org.toucanlane.coordination.store;
 
+import java.util.concurrent.CompletionException;
+
 /** Thrown when an {@link AsyncStore} call failed or its outcome is unknown. */
 public final class AsyncStoreException extends Exception {
 
@@ -24,6 +26,13 @@
         return reason;
     }
 
+    /** Returns the reason for which a call failed, or {@code UNAVAILABLE} if {@code failure} doesn't tell. */
+    public static Reason reasonOf(Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+        return cause instanceof AsyncStoreException known ? known.reason() : Reason.UNAVAILABLE;
+    }
+
     /** The reason for a failed call. */
     public enum Reason {
         /** The service is unreachable or did not respond; a write may have been applied or may be applied later. */
--- a/toucanlane-coordination/src/main/java/org/toucanlane/coordination/store/StoreRevision.java
+++ b/toucanlane-coordination/src/main/java/org/toucanlane/coordination/store/StoreRevision.java
@@ -32,6 +32,11 @@
         return compareTo(other) > 0;
     }
 
+    /** Returns whether this revision is later than {@code other} and of the same era. */
+    public boolean isLaterInEraOf(StoreRevision other) {
+        return era == other.era && number > other.number;
+    }
+
     @Override
     public int compareTo(StoreRevision other) {
         return ORDER.compare(this, other);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
@@ -22,6 +22,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -183,6 +184,15 @@
         }
     }
 
+    /** Returns the host of this region that watches the store for the others, if it isn't this one and can be reached. */
+    public Optional<HostHandle> watcher() {
+        return routes.relays().stream()
+                .findFirst()
+                .filter(name -> !name.equals(self.name()))
+                .flatMap(fleet::host)
+                .filter(this::isAlive);
+    }
+
     private void sendOwnReport(Map<String, AccountUsage> ownUsage, long now) {
         Map<Integer, EndpointUsage> endpoints = endpointUsage(endpoint -> endpoint.localUsage(now), !routes.isRelay());
         Map<String, AccountUsage> usage = topByDemand(ownUsage);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -29,8 +29,10 @@
 import org.toucanlane.edge.http.ResponseFault;
 import org.toucanlane.edge.http.ResponseFaultListener;
 import org.toucanlane.edge.limit.AccountLimiter;
+import org.toucanlane.edge.state.ChangeExchange;
 import org.toucanlane.edge.state.FreshnessLease;
 import org.toucanlane.edge.state.HostLease;
+import org.toucanlane.edge.state.StoreListener;
 import org.toucanlane.edge.state.StoreMirror;
 import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
@@ -185,7 +187,8 @@
         callerServer = listen(settings.callerAddress(), calls.callerHandler());
         InetSocketAddress peerAddress =
                 new InetSocketAddress(settings.self().address(), settings.self().hopPort());
-        peerServer = listen(peerAddress, calls.hostHandler());
+        peerServer = listen(peerAddress, ChangeExchange.handler(mirror::changesSince, calls.hostHandler()));
+        mirror.setPeers(new ChangeExchange(loop, gossip::watcher));
         gossip.start(limiter);
         registerGauges();
         freshness.onClockJump(() -> {
@@ -362,7 +365,7 @@
     }
 
     /** Applies changes of the store to the fleet. */
-    private final class MirrorListener implements StoreMirror.Listener {
+    private final class MirrorListener implements StoreListener {
 
         private final FleetStoreFormat documents;
         private boolean reachedBefore;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/HostLease.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/HostLease.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -130,8 +129,7 @@
     }
 
     private static boolean isLeaseLost(Throwable failure) {
-        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        return cause instanceof AsyncStoreException known && known.reason() == AsyncStoreException.Reason.LEASE_EXPIRED;
+        return AsyncStoreException.reasonOf(failure) == AsyncStoreException.Reason.LEASE_EXPIRED;
     }
 
     /**
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/StoreMirror.java
@@ -1,5 +1,6 @@
 package org.toucanlane.edge.state;
 
+import com.google.common.base.Throwables;
 import com.google.common.hash.Hashing;
 import java.io.IOException;
 import java.time.Duration;
@@ -9,7 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -73,7 +74,7 @@
     private final ScheduledExecutorService loop;
     private final FreshnessLease freshness;
     private final DecisionLog log;
-    private final Listener listener;
+    private final StoreListener listener;
     private final Duration watchTime;
     private final String eraKey;
     private final EraTracker eras = new EraTracker();
@@ -87,6 +88,8 @@
     private long restartedAt;
     private boolean follower;
     private StoreRevision peerRevision = StoreRevision.NONE;
+    private PeerChanges peers = PeerChanges.NONE;
+    private final ChangeLog changeLog = new ChangeLog();
     private boolean recovered;
     private long recoveredAt;
 
@@ -101,7 +104,7 @@
             ScheduledExecutorService loop,
             FreshnessLease freshness,
             DecisionLog log,
-            Listener listener,
+            StoreListener listener,
             String eraKey,
             Duration watchTime) {
         this.store = store;
@@ -242,6 +245,7 @@
         missing.removeIf(key -> knownItems.get(key).revision().era() < from.era());
         missing.forEach(this::remove);
         revision = from;
+        changeLog.restartAt(from);
         synced = true;
         if (settled) {
             removeUnconfirmed();
@@ -271,7 +275,7 @@
                 apply(changes);
                 renewFreshness(sentAt);
                 watchAgain(expectedGeneration, changes.changes().isEmpty());
-            } else if (reasonOf(failure).endsWatching()) {
+            } else if (AsyncStoreException.reasonOf(failure).endsWatching()) {
                 log.stateChange(
                         "store_history_gone",
                         "era",
@@ -279,7 +283,7 @@
                         "revision",
                         revision.number(),
                         "reason",
-                        reasonOf(failure).name());
+                        AsyncStoreException.reasonOf(failure).name());
                 start();
             } else {
                 markUnreachable(failure);
@@ -306,13 +310,39 @@
         boolean needsProof = !fresh && eras.isProof(freshness.monotonicNanos());
         if (!follower) {
             watch(expectedGeneration, watchTime);
-        } else if (behind || needsProof) {
+        } else if (needsProof) {
             watch(expectedGeneration, CATCH_UP_WAIT);
+        } else if (behind) {
+            catchUp(expectedGeneration);
         } else {
             scheduleIfCurrent(expectedGeneration, FOLLOWER_POLL_INTERVAL, () -> continueWatching(expectedGeneration));
         }
     }
 
+    /** Asks another host for the changes that this one lacks, and the store if that host can't tell them all. */
+    private void catchUp(long expectedGeneration) {
+        peers.since(revision)
+                .orElseGet(() -> CompletableFuture.failedFuture(new IOException("no other host watches the store")))
+                .whenComplete(ifCurrent(expectedGeneration, (changes, failure) -> {
+                    if (failure == null && changes.revision().isLaterInEraOf(revision)) {
+                        apply(changes);
+                        watchAgain(expectedGeneration, false);
+                    } else {
+                        watch(expectedGeneration, CATCH_UP_WAIT);
+                    }
+                }));
+    }
+
+    /** Sets the other hosts that a follower asks for changes before it asks the store. */
+    public void setPeers(PeerChanges source) {
+        peers = source;
+    }
+
+    /** Returns the changes after {@code since} that this copy includes, or empty if some are no longer known. */
+    public Optional<StoreChanges> changesSince(StoreRevision since) {
+        return synced ? changeLog.since(since) : Optional.empty();
+    }
+
     /** Sets whether this host is a follower, which relies on the status reported by other hosts of its region. */
     public void setFollower(boolean isFollower) {
         follower = isFollower;
@@ -355,6 +385,7 @@
                 change.item().ifPresentOrElse(this::put, () -> applyRemoval(change));
             }
         }
+        changeLog.append(changes);
         revision = changes.revision().isAfter(revision) ? changes.revision() : revision;
     }
 
@@ -435,7 +466,11 @@
     private void markUnreachable(Throwable failure) {
         if (reachable || !synced) {
             log.stateChange(
-                    "store_lost", "reason", String.valueOf(unwrap(failure)), "proof_age_ms", freshness.ageMillis());
+                    "store_lost",
+                    "reason",
+                    String.valueOf(Throwables.getRootCause(failure)),
+                    "proof_age_ms",
+                    freshness.ageMillis());
         }
         if (reachable) {
             reachable = false;
@@ -458,35 +493,6 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    private static Throwable unwrap(Throwable failure) {
-        return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
-    }
-
-    private static AsyncStoreException.Reason reasonOf(Throwable failure) {
-        return unwrap(failure) instanceof AsyncStoreException known
-                ? known.reason()
-                : AsyncStoreException.Reason.UNAVAILABLE;
-    }
-
     /** Newest revision of a key, and the fingerprint of its value there. */
     private record Known(StoreRevision revision, long fingerprint) {}
-
-    /** Receives changes of the copy. */
-    public interface Listener {
-
-        /** Called when a key has a new value, or with empty when it was removed. */
-        void changed(String key, Optional<byte[]> value);
-
-        /** Called when all keys have been read. */
-        void synced();
-
-        /** Called when the store was restored from an older copy, before keys are read from it. */
-        default void storeRestored() {}
-
-        /** Called when the store becomes reachable or unreachable. */
-        void reachabilityChanged(boolean nowReachable);
-
-        /** Called when another host reports that the store became reachable for it at monotonic time {@code time}. */
-        default void storeRecoveredElsewhere(long time) {}
-    }
 }
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/GossipTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/GossipTest.java
@@ -32,6 +32,7 @@
 import org.toucanlane.edge.fleet.HostRecord;
 import org.toucanlane.edge.limit.AccountLimiter;
 import org.toucanlane.edge.state.FreshnessLease;
+import org.toucanlane.edge.state.StoreListener;
 import org.toucanlane.edge.state.StoreMirror;
 import org.toucanlane.edge.telemetry.DecisionLog;
 import org.toucanlane.policy.quarantine.SegmentQuarantine;
@@ -177,7 +178,7 @@
     }
 
     /** A listener without calls, since the mirror is not started. */
-    private static final class UnusedListener implements StoreMirror.Listener {
+    private static final class UnusedListener implements StoreListener {
 
         @Override
         public void changed(String key, Optional<byte[]> value) {
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/state/StoreMirrorTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/state/StoreMirrorTest.java
@@ -5,26 +5,17 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongConsumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.toucanlane.coordination.store.AsyncStore;
 import org.toucanlane.coordination.store.AsyncStoreException;
 import org.toucanlane.coordination.store.StoreChanges;
 import org.toucanlane.coordination.store.StoreItem;
-import org.toucanlane.coordination.store.StoreLease;
-import org.toucanlane.coordination.store.StorePage;
 import org.toucanlane.coordination.store.StoreRevision;
-import org.toucanlane.coordination.store.StoreTransaction;
 import org.toucanlane.edge.telemetry.DecisionLog;
 
 class StoreMirrorTest {
@@ -43,7 +34,7 @@
 
     @BeforeEach
     void start() {
-        StoreMirror.Listener listener = new StoreMirror.Listener() {
+        StoreListener listener = new StoreListener() {
             @Override
             public void changed(String key, Optional<byte[]> value) {
                 if (key.equals(REJECTED_KEY)) {
@@ -365,7 +356,7 @@
         channel.runScheduledPendingTasks();
     }
 
-    private static final StoreMirror.Listener NO_OP_LISTENER = new StoreMirror.Listener() {
+    private static final StoreListener NO_OP_LISTENER = new StoreListener() {
         @Override
         public void changed(String key, Optional<byte[]> value) {
             // Ignored.
@@ -382,99 +373,15 @@
         }
     };
 
-    private static StoreItem item(String key, String value, long revision) {
+    static StoreItem item(String key, String value, long revision) {
         return new StoreItem(key, value.getBytes(StandardCharsets.UTF_8), revision, 0);
     }
 
-    private static StoreChanges.Change put(String key, String value, long revision) {
+    static StoreChanges.Change put(String key, String value, long revision) {
         return new StoreChanges.Change(key, revision, Optional.of(item(key, value, revision)));
     }
 
-    private static StoreChanges.Change removed(String key, long revision) {
+    static StoreChanges.Change removed(String key, long revision) {
         return new StoreChanges.Change(key, revision, Optional.empty());
     }
-
-    /** A store whose pending calls are completed by the test in the order in which they were made. */
-    private static final class ScriptedStore implements AsyncStore {
-
-        private final Deque<CompletableFuture<?>> pendingCalls = new ArrayDeque<>();
-        private long watched;
-        private long era = StoreRevision.UNKNOWN_ERA;
-        private LongConsumer eraListener;
-
-        void page(boolean more, long revision, StoreItem... items) {
-            this.<StorePage>next().complete(new StorePage(List.of(items), more, new StoreRevision(era, revision)));
-        }
-
-        void changes(long revision, StoreChanges.Change... changes) {
-            this.<StoreChanges>next().complete(new StoreChanges(List.of(changes), new StoreRevision(era, revision)));
-        }
-
-        void fail(AsyncStoreException.Reason reason) {
-            next().completeExceptionally(new AsyncStoreException(reason, "scripted"));
-        }
-
-        @SuppressWarnings("unchecked")
-        private <T> CompletableFuture<T> next() {
-            return (CompletableFuture<T>) pendingCalls.removeFirst();
-        }
-
-        /** Reports an era, as the next response does. */
-        void beginEra(long next) {
-            era = next;
-            eraListener.accept(next);
-        }
-
-        @Override
-        public void setEraListener(LongConsumer listener) {
-            eraListener = listener;
-        }
-
-        long watchedFrom() {
-            return watched;
-        }
-
-        /** Drops calls that the mirror has abandoned. */
-        void dropCalls(int count) {
-            for (int i = 0; i < count; i++) {
-                pendingCalls.removeFirst();
-            }
-        }
-
-        int pendingCalls() {
-            return pendingCalls.size();
-        }
-
-        private <T> CompletableFuture<T> enqueue() {
-            CompletableFuture<T> call = new CompletableFuture<>();
-            pendingCalls.addLast(call);
-            return call;
-        }
-
-        @Override
-        public CompletableFuture<StorePage> range(String prefix, String after) {
-            return enqueue();
-        }
-
-        @Override
-        public CompletableFuture<StoreChanges> watch(String prefix, long revision, Duration wait) {
-            watched = revision;
-            return enqueue();
-        }
-
-        @Override
-        public CompletableFuture<StoreRevision> commit(StoreTransaction transaction) {
-            return enqueue();
-        }
-
-        @Override
-        public CompletableFuture<StoreLease> grantLease(Duration time) {
-            return enqueue();
-        }
-
-        @Override
-        public CompletableFuture<StoreLease> renewLease(long lease) {
-            return enqueue();
-        }
-    }
 }
