Run the periodic tasks of a host with fewer wake-ups

Callers: on small hosts control work takes the time that requests need; an idle host of 0.12 of a core used 3% of a core.

Cause: a host has a timer for reports every 100 ms, of which every second one did nothing in a fleet of more than 16 hosts, one for maintenance every 200 ms, and one for each of its five servers every 500 ms, all due at different times; each wake-up costs as much as a small request.

Change: AlignedSchedule makes tasks due at common multiples since the start of the process; connections are checked every 400 ms; a round of reports is scheduled only when it is sent, and the shares of accounts are kept for 100 ms as before.

AlignedScheduleTest.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
@@ -37,6 +37,7 @@
 import org.toucanlane.edge.limit.AccountLimiter;
 import org.toucanlane.edge.limit.AccountShare;
 import org.toucanlane.edge.limit.AccountUsage;
+import org.toucanlane.edge.schedule.AlignedSchedule;
 import org.toucanlane.edge.state.StoreMirror;
 import org.toucanlane.edge.telemetry.DecisionLog;
 import org.toucanlane.policy.quarantine.SegmentQuarantine;
@@ -56,9 +57,15 @@
     /** Time between rounds; an endpoint typically gets a few requests in this time. */
     private static final Duration ROUND_INTERVAL = Duration.ofMillis(100);
 
-    /** Number of other hosts above which every second round is skipped, since each host then has few requests. */
+    /** Time between rounds in a large fleet, where each host has few requests. */
+    private static final Duration LARGE_FLEET_ROUND_INTERVAL = ROUND_INTERVAL.multipliedBy(2);
+
+    /** Number of other hosts above which a fleet is large. */
     private static final int FULL_RATE_MAX_HOSTS = 16;
 
+    /** Time for which the shares of accounts are kept. */
+    private static final Duration SHARE_LIFETIME = Duration.ofMillis(100);
+
     /**
      * Rounds for which an endpoint that became idle is still reported, so that receivers learn of it despite losses.
      */
@@ -88,7 +95,7 @@
     private AccountLimiter limiter;
     private Channel channel;
     private ReportRoutes routes;
-    private long ticks;
+    private long sharesComputedAt = System.nanoTime();
     private long rounds;
 
     /** Creates an instance that sends nothing until {@link #start} is called. */
@@ -130,19 +137,22 @@
             throw new IOException("cannot bind UDP port " + self.gossipPort(), bound.cause());
         }
         channel = bound.channel();
-        loop.scheduleAtFixedRate(
-                log.logFailures("report round", this::runRound),
-                ROUND_INTERVAL.toMillis(),
-                ROUND_INTERVAL.toMillis(),
-                TimeUnit.MILLISECONDS);
+        scheduleRound();
+    }
+
+    private void scheduleRound() {
+        Duration interval = fleet.hosts().size() > FULL_RATE_MAX_HOSTS ? LARGE_FLEET_ROUND_INTERVAL : ROUND_INTERVAL;
+        Runnable round = log.logFailures("report round", this::runRound);
+        AlignedSchedule.runNext(
+                loop,
+                () -> {
+                    scheduleRound();
+                    round.run();
+                },
+                interval);
     }
 
     private void runRound() {
-        sharesByAccount.clear();
-        boolean skipped = fleet.hosts().size() > FULL_RATE_MAX_HOSTS && ticks++ % 2 != 0;
-        if (skipped) {
-            return;
-        }
         long now = System.nanoTime();
         rounds++;
         received.removeExpired(now);
@@ -429,8 +439,13 @@
 
     @Override
     public AccountShare shareOf(String account) {
+        long now = System.nanoTime();
+        if (now - sharesComputedAt > SHARE_LIFETIME.toNanos()) {
+            sharesByAccount.clear();
+            sharesComputedAt = now;
+        }
         return sharesByAccount.computeIfAbsent(
-                account, name -> received.shareOf(name, limiter.demandOf(name), routes.isRelay(), System.nanoTime()));
+                account, name -> received.shareOf(name, limiter.demandOf(name), routes.isRelay(), now));
     }
 
     /** Returns whether a report from {@code host}, or an aggregate that includes it, is recent enough. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -29,6 +29,7 @@
 import org.toucanlane.edge.http.ResponseFault;
 import org.toucanlane.edge.http.ResponseFaultListener;
 import org.toucanlane.edge.limit.AccountLimiter;
+import org.toucanlane.edge.schedule.AlignedSchedule;
 import org.toucanlane.edge.state.ChangeExchange;
 import org.toucanlane.edge.state.FreshnessLease;
 import org.toucanlane.edge.state.HostLease;
@@ -202,11 +203,7 @@
             peerServer.setLimits(peerLimits(next.callerLimits()));
         });
         loop.execute(mirror::start);
-        loop.scheduleAtFixedRate(
-                log.logFailures("maintenance", this::runMaintenance),
-                MAINTENANCE_INTERVAL.toMillis(),
-                MAINTENANCE_INTERVAL.toMillis(),
-                TimeUnit.MILLISECONDS);
+        AlignedSchedule.repeat(loop, log.logFailures("maintenance", this::runMaintenance), MAINTENANCE_INTERVAL);
         log.stateChange(
                 "host_started",
                 "host",
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -18,8 +18,8 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
 import org.toucanlane.domain.serving.CallerLimits;
+import org.toucanlane.edge.schedule.AlignedSchedule;
 import org.toucanlane.policy.admission.BodyBudget;
 
 /**
@@ -31,7 +31,7 @@
 public final class HttpServer {
 
     /** Interval between checks for expired connections: a fraction of the shortest time limit in use. */
-    private static final Duration EXPIRY_CHECK_INTERVAL = Duration.ofMillis(500);
+    private static final Duration EXPIRY_CHECK_INTERVAL = Duration.ofMillis(400);
 
     /** Maximum length of the request line. No route has a longer path. */
     private static final int MAX_LINE_BYTES = 8 << 10;
@@ -124,13 +124,8 @@
             throw new IOException("failed to bind to " + address, bindFuture.cause());
         }
         server.channel = bindFuture.channel();
-        server.expiryTimer = server.channel
-                .eventLoop()
-                .scheduleAtFixedRate(
-                        server::closeExpiredConnections,
-                        EXPIRY_CHECK_INTERVAL.toMillis(),
-                        EXPIRY_CHECK_INTERVAL.toMillis(),
-                        TimeUnit.MILLISECONDS);
+        server.expiryTimer = AlignedSchedule.repeat(
+                server.channel.eventLoop(), server::closeExpiredConnections, EXPIRY_CHECK_INTERVAL);
         return server;
     }
 
