Judge what a host reads by its age, and order it when the host is late

Callers saw requests sent on seconds after they had left, and hosts that had stalled took all others for silent. Cause: a host took what it read for fresh.

The event loop's passes are measured (MeasuredIoHandler, LoopClock), also for connections that wait to be accepted (AcceptClock). InboundRequest.receivedAt is the time since which a request may have been waiting, and deadlines count from it; what its caller has given up is refused as not run before anything is spent on it. Own stalls are discounted before another host counts as silent, at most 1 s for the directory. Rounds of reports and maintenance aren't made up for after a stall. Refusals for lateness and of hosts that aren't ready give retry times spread by the request's id.

--- a/toucanlane-domain/src/main/java/org/toucanlane/domain/serving/ServingConfiguration.java
+++ b/toucanlane-domain/src/main/java/org/toucanlane/domain/serving/ServingConfiguration.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Locale;
@@ -85,6 +86,13 @@
         return routesByHostName.get(hostName.toLowerCase(Locale.ROOT));
     }
 
+    /** Returns the shortest latency objective of all routes, or empty if there is no route. */
+    public Optional<Duration> shortestObjective() {
+        return routesByHostName.values().stream()
+                .map(ServingRoute::latencyObjective)
+                .min(Comparator.naturalOrder());
+    }
+
     /** Returns the service with the given name, or empty if there is none. */
     public Optional<ServingService> service(String name) {
         return Optional.ofNullable(services.get(name));
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
@@ -1,5 +1,6 @@
 package org.toucanlane.edge.call;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.Sets;
 import io.netty.handler.codec.http.HttpRequest;
 import java.time.Duration;
@@ -14,6 +15,9 @@
 import org.toucanlane.edge.fleet.Fleet;
 import org.toucanlane.edge.limit.AccountLimiter;
 import org.toucanlane.edge.state.FreshnessLease;
+import org.toucanlane.policy.overload.ArrivalQueue;
+import org.toucanlane.policy.overload.CallerPatience;
+import org.toucanlane.policy.overload.RetrySpread;
 
 /**
  * Decides whether a request may run. Applies the configuration in force: route, key, account limit and data residency.
@@ -23,7 +27,10 @@
  */
 final class CallAdmission {
 
-    /** Retry delay on a host that has no configuration or can't verify keys; long enough for a few store calls. */
+    /**
+     * Mean retry delay on a host that has no configuration or can't verify keys; half of it is long enough for a few store
+     * calls.
+     */
     private static final Duration NOT_READY_RETRY_AFTER = Duration.ofMillis(700);
 
     /**
@@ -32,6 +39,12 @@
      */
     private static final Duration OLD_CONFIGURATION_RETRY_AFTER = Duration.ofMillis(200);
 
+    /** Shortest mean retry delay of a host that is late: another host can be asked almost at once. */
+    private static final Duration MIN_LATE_RETRY_AFTER = Duration.ofMillis(100);
+
+    /** Longest mean retry delay of a host that is late; beyond, callers would rather give up. */
+    private static final Duration MAX_LATE_RETRY_AFTER = Duration.ofSeconds(1);
+
     /** Matches no region. Used if the residency rules of the route and of the account have no region in common. */
     private static final Set<String> NO_REGION = Set.of("");
 
@@ -53,8 +66,9 @@
      * @throws CallRefusedException if the request may not run
      */
     AdmittedCall admit(HttpRequest request, CallHead head, long receivedAt) throws CallRefusedException {
-        ServingConfiguration configuration = configuration();
+        ServingConfiguration configuration = configuration(head);
         ServingRoute route = route(configuration, head);
+        refuseIfGivenUp(termsOf(route, timeLeft(head, route), false), head, receivedAt);
         Optional<ServingAccount> account = account(configuration, route, head);
         long cost = account.map(holder -> holder.costOf(declaredTokens(head))).orElse(0L);
         if (account.isPresent()) {
@@ -88,7 +102,7 @@
      */
     AdmittedCall admitForwarded(HttpRequest request, CallHead head, long receivedAt) throws CallRefusedException {
         HopHeaders.Hop hop = readHopHeaders(request);
-        ServingConfiguration configuration = configuration();
+        ServingConfiguration configuration = configuration(head);
         if (configuration.version() < hop.configurationVersion()) {
             throw new CallRefusedException(
                     ErrorKind.NOT_READY,
@@ -96,6 +110,7 @@
                     "configuration version " + hop.configurationVersion() + " is not in force on this host yet");
         }
         ServingRoute route = route(configuration, head);
+        refuseIfGivenUp(termsOf(route, hop.timeLeft(), true), head, receivedAt);
         Optional<ServingAccount> account = hop.account().flatMap(configuration::account);
         if (account.isEmpty() && hop.account().isPresent()) {
             throw new CallRefusedException(
@@ -112,6 +127,54 @@
                 Optional.of(hop.sender()));
     }
 
+    /** Returns what the caller of a request needs, or empty if the configuration in force has no route for it. */
+    Optional<ArrivalQueue.Terms> terms(CallHead head) {
+        return fleet.configuration()
+                .flatMap(configuration -> configuration.route(head.host(), head.path()))
+                .map(route -> termsOf(route, timeLeft(head, route), false));
+    }
+
+    /** As {@link #terms}, for a request that another host has forwarded. */
+    Optional<ArrivalQueue.Terms> termsForwarded(HttpRequest request, CallHead head) throws CallRefusedException {
+        Duration timeLeft = readHopHeaders(request).timeLeft();
+        return fleet.configuration()
+                .flatMap(configuration -> configuration.route(head.host(), head.path()))
+                .map(route -> termsOf(route, timeLeft, true));
+    }
+
+    /** What another host forwards has been read once, so that only its deadline or the silence of a stream ends it. */
+    private static ArrivalQueue.Terms termsOf(ServingRoute route, Duration timeLeft, boolean forwarded) {
+        CallerPatience patience = switch (route.kind()) {
+            case IDEMPOTENT -> forwarded ? CallerPatience.ONCE : CallerPatience.REPEATABLE;
+            case AT_MOST_ONCE -> CallerPatience.ONCE;
+            case STREAM -> CallerPatience.STREAM;
+        };
+        return new ArrivalQueue.Terms(
+                route.priority().orElse(0),
+                route.latencyObjective(),
+                patience.givesUpAfter(timeLeft, route.latencyObjective(), route.maxEventGap()));
+    }
+
+    private void refuseIfGivenUp(ArrivalQueue.Terms terms, CallHead head, long receivedAt) throws CallRefusedException {
+        long age = System.nanoTime() - receivedAt;
+        if (age >= terms.givenUpAfter().toNanos()) {
+            throw late(
+                    head,
+                    age,
+                    "its caller has given it up after " + terms.givenUpAfter().toMillis() + " ms");
+        }
+    }
+
+    /** Returns the refusal of a request that this host has read, or gets to, too late. */
+    static CallRefusedException late(CallHead head, long ageNanos, String reason) {
+        Duration age = Duration.ofNanos(ageNanos);
+        Duration mean = Comparators.max(MIN_LATE_RETRY_AFTER, Comparators.min(MAX_LATE_RETRY_AFTER, age));
+        return new CallRefusedException(
+                ErrorKind.OVERLOADED,
+                RetrySpread.around(mean, RendezvousHash.hash(head.id())),
+                "the request may have waited " + age.toMillis() + " ms to be read: " + reason);
+    }
+
     private static AdmittedCall admitted(
             CallHead head,
             ResolvedRoute routed,
@@ -159,10 +222,13 @@
         }
     }
 
-    private ServingConfiguration configuration() throws CallRefusedException {
-        return fleet.configuration()
-                .orElseThrow(() -> new CallRefusedException(
-                        ErrorKind.NOT_READY, NOT_READY_RETRY_AFTER, "no configuration has been loaded yet"));
+    private ServingConfiguration configuration(CallHead head) throws CallRefusedException {
+        return fleet.configuration().orElseThrow(() -> notReady(head, "no configuration has been loaded yet"));
+    }
+
+    private static CallRefusedException notReady(CallHead head, String detail) {
+        Duration retryAfter = RetrySpread.around(NOT_READY_RETRY_AFTER, RendezvousHash.hash(head.id()));
+        return new CallRefusedException(ErrorKind.NOT_READY, retryAfter, detail);
     }
 
     private static ServingRoute route(ServingConfiguration configuration, CallHead head) throws CallRefusedException {
@@ -180,15 +246,11 @@
             return Optional.empty();
         }
         if (!freshness.isValid()) {
-            throw new CallRefusedException(
-                    ErrorKind.NOT_READY,
-                    NOT_READY_RETRY_AFTER,
-                    "keys can't be verified while the store is unreachable or was just restored");
+            throw notReady(head, "keys can't be verified while the store is unreachable or was just restored");
         }
         if (fleet.isConfigurationOutdated(System.nanoTime())) {
-            throw new CallRefusedException(
-                    ErrorKind.NOT_READY,
-                    NOT_READY_RETRY_AFTER,
+            throw notReady(
+                    head,
                     "keys can't be verified: another host has configuration " + fleet.newestKnownConfiguration()
                             + ", this host " + configuration.version());
         }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -22,6 +22,7 @@
 import org.toucanlane.edge.state.FreshnessLease;
 import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
+import org.toucanlane.policy.overload.ArrivalQueue;
 import org.toucanlane.policy.quarantine.SegmentQuarantine;
 
 /** Serves requests from callers and requests forwarded by other hosts. Used on the host's event loop only. */
@@ -120,17 +121,76 @@
     }
 
     private void serve(InboundRequest request, Admitter admitter, boolean forwarded) {
-        Optional<String> id = Optional.empty();
         try {
-            CallHead head = admission.readHead(request.head());
-            id = Optional.of(head.id());
+            serve(request, admission.readHead(request.head()), admitter, forwarded);
+        } catch (CallRefusedException e) {
+            request.body().release();
+            refuse(request, Optional.empty(), e, forwarded);
+        }
+    }
+
+    private void serve(InboundRequest request, CallHead head, Admitter admitter, boolean forwarded) {
+        try {
             if (closed) {
                 throw new CallRefusedException(ErrorKind.LEAVING, DrainCheck.RETRY_AFTER, "this host is shutting down");
             }
             new Call(context, request, admitter.admit(request.head(), head, request.receivedAt())).start();
         } catch (CallRefusedException e) {
             request.body().release();
-            refuse(request, id, e, forwarded);
+            refuse(request, Optional.of(head.id()), e, forwarded);
+        }
+    }
+
+    private Optional<RequestHandler.Prepared> prepare(InboundRequest request, Admitter admitter, boolean forwarded) {
+        try {
+            CallHead head = admission.readHead(request.head());
+            Optional<ArrivalQueue.Terms> terms =
+                    forwarded ? admission.termsForwarded(request.head(), head) : admission.terms(head);
+            return terms.map(known -> new LateCall(request, head, known, admitter, forwarded));
+        } catch (CallRefusedException e) {
+            // The handler refuses it for the same reason, at no cost.
+            return Optional.empty();
+        }
+    }
+
+    /** A request that waits while the event loop is late. */
+    private final class LateCall implements RequestHandler.Prepared {
+
+        private final InboundRequest request;
+        private final CallHead head;
+        private final ArrivalQueue.Terms terms;
+        private final Admitter admitter;
+        private final boolean forwarded;
+
+        private LateCall(
+                InboundRequest request, CallHead head, ArrivalQueue.Terms terms, Admitter admitter, boolean forwarded) {
+            this.request = request;
+            this.head = head;
+            this.terms = terms;
+            this.admitter = admitter;
+            this.forwarded = forwarded;
+        }
+
+        @Override
+        public ArrivalQueue.Terms terms() {
+            return terms;
+        }
+
+        @Override
+        public void handle() {
+            serve(request, head, admitter, forwarded);
+        }
+
+        @Override
+        public void refuseAsLate() {
+            request.body().release();
+            long age = System.nanoTime() - request.receivedAt();
+            refuse(
+                    request,
+                    Optional.of(head.id()),
+                    CallAdmission.late(
+                            head, age, "the objective is " + terms.objective().toMillis() + " ms"),
+                    forwarded);
         }
     }
 
@@ -204,6 +264,11 @@
             serve(request, admitter, forwarded);
         }
 
+        @Override
+        public Optional<Prepared> prepare(InboundRequest request) {
+            return CallService.this.prepare(request, admitter, forwarded);
+        }
+
         @Override
         public void refuseForMemory(InboundRequest request) {
             refuseWithoutBody(request, forwarded);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/HostHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/HostHandle.java
@@ -47,6 +47,11 @@
         return everReported && now - lastReportAt <= nanos;
     }
 
+    /** Returns the time of the latest report, or zero if there is none. */
+    public long lastReportAt() {
+        return lastReportAt;
+    }
+
     /** Returns whether any report has been recorded. */
     public boolean hasEverReported() {
         return everReported;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
@@ -38,6 +38,7 @@
 import org.toucanlane.edge.limit.AccountUsage;
 import org.toucanlane.edge.state.StoreMirror;
 import org.toucanlane.edge.telemetry.DecisionLog;
+import org.toucanlane.policy.overload.SilenceAllowance;
 import org.toucanlane.policy.quarantine.SegmentQuarantine;
 
 /**
@@ -77,6 +78,7 @@
     private final DecisionLog log;
     private final HostRecord self;
     private final StoreMirror mirror;
+    private final SilenceAllowance ownStalls;
     private final SentReports sent = new SentReports();
     private final ReceivedReports received;
     private final SegmentAnnouncements segmentAnnouncements = new SegmentAnnouncements();
@@ -90,19 +92,25 @@
     private long ticks;
     private long rounds;
 
-    /** Creates an instance that sends nothing until {@link #start} is called. */
+    /**
+     * Creates an instance that sends nothing until {@link #start} is called.
+     *
+     * @param ownStalls silence of other hosts that this host's own stalls explain
+     */
     public Gossip(
             EventLoop loop,
             Fleet fleet,
             DecisionLog log,
             HostRecord self,
             StoreMirror mirror,
-            SegmentQuarantine quarantine) {
+            SegmentQuarantine quarantine,
+            SilenceAllowance ownStalls) {
         this.loop = loop;
         this.fleet = fleet;
         this.log = log;
         this.self = self;
         this.mirror = mirror;
+        this.ownStalls = ownStalls;
         this.received = new ReceivedReports(fleet, self.region(), self.name(), sent);
         this.crashes = new CrashExchange(fleet, log, self, quarantine);
         this.routes = new ReportRoutes(self, Map.of(), List.of());
@@ -129,7 +137,8 @@
             throw new IOException("cannot bind UDP port " + self.gossipPort(), bound.cause());
         }
         channel = bound.channel();
-        loop.scheduleAtFixedRate(
+        // A loop that was late doesn't make up for the rounds that it has missed.
+        loop.scheduleWithFixedDelay(
                 log.logFailures("report round", this::runRound),
                 ROUND_INTERVAL.toMillis(),
                 ROUND_INTERVAL.toMillis(),
@@ -144,7 +153,8 @@
         }
         long now = System.nanoTime();
         rounds++;
-        received.removeExpired(now);
+        long expired = now - ReceivedReports.MAX_REPORT_AGE.toNanos();
+        received.removeExpired(now, ownStalls.nanosSinceWithUnread(expired, now));
         updateSilentHosts(now);
         chooseRelays();
         Map<String, AccountUsage> ownUsage = limiter.usage();
@@ -423,21 +433,29 @@
                 account, name -> received.shareOf(name, limiter.demandOf(name), routes.isRelay(), System.nanoTime()));
     }
 
-    /** Returns whether a report from {@code host}, or an aggregate that includes it, is recent enough. */
+    /**
+     * Returns whether a report from {@code host}, or an aggregate that includes it, is recent enough. The time in which this
+     * host didn't read doesn't count.
+     */
     public boolean isAlive(HostHandle host) {
         return isAlive(host, System.nanoTime());
     }
 
     /**
      * Returns whether {@code host} of this region is presumed alive: its reports are recent, or its state is unknown
-     * because no relay's aggregate is available.
+     * because no relay's aggregate is available. Of this host's stalls no more than {@link SilenceAllowance#MAX} is discounted.
      */
     public boolean isPresumedAlive(HostHandle host) {
-        return isAlive(host) || !routes.isRelay() && !received.hasAggregate();
+        return hasReported(host, System.nanoTime(), ownStalls.nanosSince(host.lastReportAt()))
+                || !routes.isRelay() && !received.hasAggregate();
+    }
+
+    private boolean isAlive(HostHandle host, long now) {
+        return hasReported(host, now, ownStalls.nanosSinceWithUnread(host.lastReportAt(), now));
     }
 
-    private static boolean isAlive(HostHandle host, long now) {
-        return host.hasReportedWithin(now, ReceivedReports.MAX_REPORT_AGE.toNanos());
+    private static boolean hasReported(HostHandle host, long now, long unreadNanos) {
+        return host.hasReportedWithin(now, ReceivedReports.MAX_REPORT_AGE.toNanos() + unreadNanos);
     }
 
     /** Decodes and handles incoming datagrams. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/ReceivedReports.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/ReceivedReports.java
@@ -114,9 +114,13 @@
         return known;
     }
 
-    /** Removes expired reports. */
-    void removeExpired(long now) {
-        long oldest = now - MAX_REPORT_AGE.toNanos();
+    /**
+     * Removes expired reports.
+     *
+     * @param unreadNanos time in which this host didn't read reports and which doesn't count
+     */
+    void removeExpired(long now, long unreadNanos) {
+        long oldest = now - MAX_REPORT_AGE.toNanos() - unreadNanos;
         directReports.values().removeIf(report -> report.receivedAt() - oldest < 0);
         remoteRegions.values().removeIf(view -> view.reportedAt() - oldest < 0);
         ownRegionAggregate = ownRegionAggregate.reportedAt() - oldest < 0 ? RegionView.EMPTY : ownRegionAggregate;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -26,6 +25,7 @@
 import org.toucanlane.edge.gossip.Gossip;
 import org.toucanlane.edge.http.HttpServer;
 import org.toucanlane.edge.http.RequestHandler;
+import org.toucanlane.edge.http.RequestIntake;
 import org.toucanlane.edge.http.ResponseFault;
 import org.toucanlane.edge.http.ResponseFaultListener;
 import org.toucanlane.edge.limit.AccountLimiter;
@@ -35,6 +35,8 @@
 import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
 import org.toucanlane.policy.admission.BodyBudget;
+import org.toucanlane.policy.overload.LoopClock;
+import org.toucanlane.policy.overload.SilenceAllowance;
 import org.toucanlane.policy.quarantine.SegmentQuarantine;
 
 /**
@@ -102,6 +104,8 @@
     private final AccountLimiter limiter;
     private final CallService calls;
     private final HostDirectory directory;
+    private final LoopMonitor loopMonitor;
+    private final RequestIntake intake;
     private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
     private final BodyBudget bodyBudget = HttpServer.newBodyBudget();
     private HttpServer callerServer;
@@ -112,6 +116,7 @@
     private EdgeHost(
             HostSettings settings,
             MultiThreadIoEventLoopGroup group,
+            LoopClock clock,
             DecisionLog log,
             CallDialect dialect,
             BiFunction<EventLoop, ResponseFaultListener, AsyncStore> stores,
@@ -120,6 +125,8 @@
         this.group = group;
         this.loop = group.next();
         this.log = log;
+        this.loopMonitor = new LoopMonitor(clock, log, metrics);
+        this.intake = RequestIntake.of(clock);
         String name = settings.self().name();
         this.fleet = new Fleet(loop, log, name, settings.regionOfDataCentre());
         AsyncStore store = stores.apply(loop, fleet.responseFaults().forServer("store"));
@@ -147,7 +154,7 @@
                         .stream()
                         .toList());
         this.quarantine = new SegmentQuarantine(name);
-        this.gossip = new Gossip(loop, fleet, log, settings.self(), mirror, quarantine);
+        this.gossip = new Gossip(loop, fleet, log, settings.self(), mirror, quarantine, new SilenceAllowance(clock));
         this.limiter = new AccountLimiter(System::nanoTime, gossip);
         int maxSavedRetries = Math.max(1, (int) (settings.extraRetries() * RETRY_BUDGET_FRACTION / RETRY_BUDGET_HOSTS));
         this.calls = CallService.create(
@@ -175,8 +182,9 @@
             BiFunction<EventLoop, ResponseFaultListener, AsyncStore> stores,
             FleetStoreFormat documents)
             throws IOException {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        EdgeHost host = new EdgeHost(settings, group, log, dialect, stores, documents);
+        LoopClock clock = new LoopClock(System.nanoTime());
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, MeasuredIoHandler.factory(clock));
+        EdgeHost host = new EdgeHost(settings, group, clock, log, dialect, stores, documents);
         host.startServing();
         return host;
     }
@@ -195,11 +203,12 @@
         });
         fleet.onConfiguration(next -> {
             limiter.configure(next);
+            next.shortestObjective().ifPresent(intake::setShortestObjective);
             callerServer.setLimits(next.callerLimits());
             peerServer.setLimits(peerLimits(next.callerLimits()));
         });
         loop.execute(mirror::start);
-        loop.scheduleAtFixedRate(
+        loop.scheduleWithFixedDelay(
                 log.logFailures("maintenance", this::runMaintenance),
                 MAINTENANCE_INTERVAL.toMillis(),
                 MAINTENANCE_INTERVAL.toMillis(),
@@ -222,6 +231,7 @@
 
     private void runMaintenance() {
         freshness.checkClocks();
+        loopMonitor.logStalls(System.nanoTime());
         fleet.closeExpiredConnections();
         calls.retryStalledCalls();
     }
@@ -232,7 +242,7 @@
      * @throws IOException if it can't be bound
      */
     public HttpServer listen(InetSocketAddress address, RequestHandler handler) throws IOException {
-        HttpServer server = HttpServer.bind(address, group, handler, bodyBudget);
+        HttpServer server = HttpServer.bind(address, group, handler, bodyBudget, intake);
         servers.add(server);
         return server;
     }
@@ -247,6 +257,7 @@
     }
 
     private void registerGauges() {
+        loopMonitor.registerGauges(intake);
         metrics.registerGauge(
                 "toucanlane.configuration.version",
                 "version of the configuration in force, 0 before the first",
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -5,6 +5,8 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -21,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import org.toucanlane.domain.serving.CallerLimits;
 import org.toucanlane.policy.admission.BodyBudget;
+import org.toucanlane.policy.overload.AcceptClock;
 
 /**
  * An HTTP server on one listening address.
@@ -39,6 +42,9 @@
     /** Accept backlog. It absorbs the burst of reconnecting callers after a host restarts. */
     private static final int BACKLOG = 1024;
 
+    /** Connections that Netty accepts before those that are open get their turn. */
+    private static final int MAX_ACCEPTS_IN_A_ROW = 16;
+
     /** Reads from one connection before other connections get their turn. */
     private static final int MAX_READS_IN_A_ROW = 16;
 
@@ -59,13 +65,16 @@
 
     private final RequestHandler handler;
     private final BodyBudget bodyBudget;
+    private final RequestIntake intake;
+    private final AcceptClock acceptClock = new AcceptClock(MAX_ACCEPTS_IN_A_ROW, BACKLOG);
     private final Set<ServerChannelHandler> connections = new HashSet<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
     private Channel channel;
     private ScheduledFuture<?> expiryTimer;
     private boolean draining;
 
-    private HttpServer(RequestHandler handler, BodyBudget bodyBudget) {
+    private HttpServer(RequestHandler handler, BodyBudget bodyBudget, RequestIntake intake) {
+        this.intake = Preconditions.checkNotNull(intake, "intake");
         this.bodyBudget = Preconditions.checkNotNull(bodyBudget, "bodyBudget");
         this.handler = Preconditions.checkNotNull(handler, "handler");
     }
@@ -82,23 +91,35 @@
      */
     public static HttpServer bind(InetSocketAddress address, EventLoopGroup loops, RequestHandler handler)
             throws IOException {
-        return bind(address, loops, handler, newBodyBudget());
+        return bind(address, loops, handler, newBodyBudget(), RequestIntake.unmeasured());
     }
 
     /**
      * Binds a server to {@code address}.
      *
+     * @param intake intake of the one event loop of {@code loops}, or one that isn't measured
      * @throws IOException if the address can't be bound
      */
     public static HttpServer bind(
-            InetSocketAddress address, EventLoopGroup loops, RequestHandler handler, BodyBudget bodyBudget)
+            InetSocketAddress address,
+            EventLoopGroup loops,
+            RequestHandler handler,
+            BodyBudget bodyBudget,
+            RequestIntake intake)
             throws IOException {
-        HttpServer server = new HttpServer(handler, bodyBudget);
+        HttpServer server = new HttpServer(handler, bodyBudget, intake);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .handler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelReadComplete(ChannelHandlerContext listener) {
+                        server.acceptClock.endPass();
+                        listener.fireChannelReadComplete();
+                    }
+                })
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
@@ -116,7 +137,9 @@
                                 .setMaxHeaderSize(server.limits.maxHeaderBytes());
                         connection
                                 .pipeline()
-                                .addLast(new HttpServerCodec(decoderConfig), new ServerChannelHandler(server));
+                                .addLast(
+                                        new HttpServerCodec(decoderConfig),
+                                        new ServerChannelHandler(server, server.waitingSince()));
                     }
                 });
         ChannelFuture bindFuture = bootstrap.bind(address).awaitUninterruptibly();
@@ -179,6 +202,14 @@
         return handler;
     }
 
+    RequestIntake intake() {
+        return intake;
+    }
+
+    private long waitingSince() {
+        return acceptClock.accepted(intake.readableSince(), System.nanoTime());
+    }
+
     BodyBudget bodyBudget() {
         return bodyBudget;
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/InboundRequest.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/InboundRequest.java
@@ -9,6 +9,7 @@
  * @param head method, target and headers
  * @param body complete body; the handler releases it
  * @param responder receives the response
- * @param receivedAt time at which the last byte was read, as a {@link System#nanoTime()} value
+ * @param receivedAt time since which the last byte may have been waiting to be read, as a {@link System#nanoTime()} value;
+ *     deadlines count from it
  */
 public record InboundRequest(HttpRequest head, ByteBuf body, Responder responder, long receivedAt) {}
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestHandler.java
@@ -6,6 +6,8 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+import org.toucanlane.policy.overload.ArrivalQueue;
 
 /** Handles completely received requests. Called on the event loop of the request's connection. */
 public interface RequestHandler {
@@ -13,6 +15,16 @@
     /** Handles {@code request}. The response may be sent later; the handler releases the body. */
     void handle(InboundRequest request);
 
+    /**
+     * Reads what decides when {@code request} is handled while the event loop is late. The handler has taken the request over if
+     * the result isn't empty.
+     *
+     * @return empty if the request is to be passed to {@link #handle} without delay
+     */
+    default Optional<Prepared> prepare(InboundRequest request) {
+        return Optional.empty();
+    }
+
     /** Refuses {@code request}, for whose body there is no memory. The body of {@code request} is empty. */
     default void refuseForMemory(InboundRequest request) {
         FullHttpResponse response = new DefaultFullHttpResponse(
@@ -25,4 +37,17 @@
     default ServerRejection rejectionFor(ServerRejection.Reason reason) {
         return new ServerRejection(reason.status(), "");
     }
+
+    /** A request that waits while the event loop is late. */
+    interface Prepared {
+
+        /** Returns what the caller needs. */
+        ArrivalQueue.Terms terms();
+
+        /** Handles the request, as {@link RequestHandler#handle} does. */
+        void handle();
+
+        /** Refuses the request, which is too late for its caller or keeps others from being on time. */
+        void refuseAsLate();
+    }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -26,6 +26,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
+import org.toucanlane.policy.overload.ArrivalQueue;
 
 /**
  * Handles one connection of an {@link HttpServer}: reads complete requests and answers them in order.
@@ -42,6 +44,8 @@
 
     private final HttpServer server;
     private final Deque<HttpObject> pending = new ArrayDeque<>();
+    private final long openedInPass;
+    private final long waitingSince;
     private ChannelHandlerContext context;
     private HttpRequest head;
 
@@ -54,8 +58,15 @@
     private boolean discardingInput;
     private long lastActivity = System.nanoTime();
 
-    ServerChannelHandler(HttpServer server) {
+    /**
+     * Creates a handler.
+     *
+     * @param waitingSince time since which the connection may have been waiting to be accepted
+     */
+    ServerChannelHandler(HttpServer server, long waitingSince) {
         this.server = server;
+        this.openedInPass = server.intake().pass();
+        this.waitingSince = waitingSince;
     }
 
     @Override
@@ -159,27 +170,78 @@
         body = null;
         ChannelResponder responder = new ChannelResponder(HttpUtil.isKeepAlive(request));
         activeResponder = responder;
-        InboundRequest inbound = new InboundRequest(request, fullBody, responder, System.nanoTime());
+        InboundRequest inbound = new InboundRequest(request, fullBody, responder, readableSince());
         // Runs after the read loop, which reads up to the end of what has arrived and so notices a caller that has
         // left.
-        context.channel().eventLoop().execute(() -> handle(inbound, complete));
+        server.intake().accept(context.channel().eventLoop(), new ReadRequest(inbound, complete));
     }
 
-    private void handle(InboundRequest inbound, boolean complete) {
-        if (context.channel().isActive()) {
-            try {
-                if (complete) {
+    /** The first bytes on a connection may have come while it waited to be accepted. */
+    private long readableSince() {
+        return server.intake().isNextPassWithoutIdling(openedInPass)
+                ? waitingSince
+                : server.intake().readableSince();
+    }
+
+    /** A request that has been read, and is handled if its caller hasn't left meanwhile. */
+    private final class ReadRequest implements RequestIntake.Arrival {
+
+        private final InboundRequest inbound;
+        private final boolean complete;
+        private Optional<RequestHandler.Prepared> prepared = Optional.empty();
+
+        private ReadRequest(InboundRequest inbound, boolean complete) {
+            this.inbound = inbound;
+            this.complete = complete;
+        }
+
+        @Override
+        public long since() {
+            return inbound.receivedAt();
+        }
+
+        @Override
+        public Optional<ArrivalQueue.Terms> terms() {
+            if (complete && context.channel().isActive()) {
+                closeOnFailure(() -> prepared = server.handler().prepare(inbound));
+            }
+            return prepared.map(RequestHandler.Prepared::terms);
+        }
+
+        @Override
+        public void handle() {
+            ifOpen(() -> {
+                if (prepared.isPresent()) {
+                    prepared.get().handle();
+                } else if (complete) {
                     server.handler().handle(inbound);
                 } else {
                     server.handler().refuseForMemory(inbound);
                 }
+            });
+        }
+
+        @Override
+        public void refuseAsLate() {
+            ifOpen(() -> prepared.ifPresent(RequestHandler.Prepared::refuseAsLate));
+        }
+
+        private void ifOpen(Runnable action) {
+            if (context.channel().isActive()) {
+                closeOnFailure(action);
+            } else {
+                inbound.body().release();
+            }
+        }
+
+        private void closeOnFailure(Runnable action) {
+            try {
+                action.run();
             } catch (RuntimeException e) {
                 // Nothing else would end the request. The event loop logs the failure.
                 context.close();
                 throw e;
             }
-        } else {
-            inbound.body().release();
         }
     }
 
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/GossipTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/GossipTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -29,11 +30,14 @@
 import org.toucanlane.coordination.store.StoreRevision;
 import org.toucanlane.coordination.store.StoreTransaction;
 import org.toucanlane.edge.fleet.Fleet;
+import org.toucanlane.edge.fleet.HostHandle;
 import org.toucanlane.edge.fleet.HostRecord;
 import org.toucanlane.edge.limit.AccountLimiter;
 import org.toucanlane.edge.state.FreshnessLease;
 import org.toucanlane.edge.state.StoreMirror;
 import org.toucanlane.edge.telemetry.DecisionLog;
+import org.toucanlane.policy.overload.LoopClock;
+import org.toucanlane.policy.overload.SilenceAllowance;
 import org.toucanlane.policy.quarantine.SegmentQuarantine;
 
 /** Runs hosts whose reports are sent over loopback, beside a socket that plays a host of the previous version. */
@@ -110,6 +114,56 @@
         }
     }
 
+    /** Regression test: a host that had stalled took all others for silent. */
+    @Test
+    void doesNotTakeOthersForSilentBecauseOfItsOwnStall() throws Exception {
+        callOnLoop(() -> {
+            HostHandle other = first.fleet.host("previous").orElseThrow();
+            long now = System.nanoTime();
+            long lastReport = now - Duration.ofSeconds(4).toNanos();
+            other.recordReport(lastReport);
+            assertThat(first.gossip.isAlive(other)).isFalse();
+            first.pass(lastReport);
+            first.pass(now);
+            assertThat(first.gossip.isAlive(other)).isTrue();
+            return null;
+        });
+    }
+
+    /** A host that doesn't report is silent, however often this host stalls. */
+    @Test
+    void ownStallsHideASilentHostForNoMoreThanASecond() throws Exception {
+        callOnLoop(() -> {
+            HostHandle other = first.fleet.host("previous").orElseThrow();
+            long now = System.nanoTime();
+            for (int stalls = 10; stalls >= 0; stalls--) {
+                first.pass(now - stalls * Duration.ofMillis(400).toNanos());
+            }
+            other.recordReport(now - Duration.ofMillis(3_050).toNanos());
+            assertThat(first.gossip.isAlive(other)).isFalse();
+            other.recordReport(now - Duration.ofMillis(2_500).toNanos());
+            assertThat(first.gossip.isAlive(other)).isTrue();
+            return null;
+        });
+    }
+
+    /** A host that had no time to send doesn't send all that it has missed. */
+    @Test
+    void doesNotMakeUpForRoundsThatItHasMissed() throws Exception {
+        receive();
+        callOnLoop(() -> {
+            Uninterruptibles.sleepUninterruptibly(Duration.ofSeconds(1));
+            return null;
+        });
+        long firstRound = FleetReport.decode(receive()).header().round();
+        long ended = System.nanoTime();
+        long round = firstRound;
+        while (System.nanoTime() - ended < Duration.ofMillis(50).toNanos()) {
+            round = FleetReport.decode(receive()).header().round();
+        }
+        assertThat(round - firstRound).isLessThanOrEqualTo(3);
+    }
+
     private byte[] receive() throws IOException {
         DatagramPacket packet = new DatagramPacket(new byte[MAX_DATAGRAM_BYTES], MAX_DATAGRAM_BYTES);
         previousVersion.receive(packet);
@@ -158,22 +212,32 @@
     /** The parts of a host that exchange reports. */
     private final class Node {
 
+        private final LoopClock clock =
+                new LoopClock(System.nanoTime() - Duration.ofMinutes(1).toNanos());
         private final SegmentQuarantine quarantine;
+        private final Fleet fleet;
         private final Gossip gossip;
         private final AccountLimiter limiter;
 
         Node(HostRecord self, List<HostRecord> hosts) {
             DecisionLog log = new DecisionLog(self.name());
-            Fleet fleet = new Fleet(loop, log, self.name(), Map.of());
+            this.fleet = new Fleet(loop, log, self.name(), Map.of());
             hosts.forEach(host -> fleet.hostChanged(host.name(), Optional.of(host)));
             FreshnessLease freshness =
                     new FreshnessLease(System::nanoTime, System::currentTimeMillis, Duration.ofSeconds(30));
             StoreMirror mirror = new StoreMirror(
                     new UnusedStore(), loop, freshness, log, new UnusedListener(), "era", Duration.ofSeconds(1));
             this.quarantine = new SegmentQuarantine(self.name());
-            this.gossip = new Gossip(loop, fleet, log, self, mirror, quarantine);
+            this.gossip = new Gossip(loop, fleet, log, self, mirror, quarantine, new SilenceAllowance(clock));
             this.limiter = new AccountLimiter(System::nanoTime, gossip);
         }
+
+        /** Has the host read at {@code now}, after it was busy since its pass before. */
+        private void pass(long now) {
+            clock.beginPass(now, false, now);
+            clock.foundInput(now);
+            clock.endPass(now);
+        }
     }
 
     /** A listener without calls, since the mirror is not started. */
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/ReceivedReportsTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/ReceivedReportsTest.java
@@ -94,9 +94,9 @@
                 new RegionReport("north", 500, true, tags(Set.of("far")), Map.of(), usage, Map.of()), NOW);
         assertThat(received.shareOf("acme", 50, true, NOW).reachableFraction()).isEqualTo(2 / 4.0);
         long later = NOW + ReceivedReports.MAX_REPORT_AGE.toNanos();
-        received.removeExpired(later - Duration.ofMillis(600).toNanos());
+        received.removeExpired(later - Duration.ofMillis(600).toNanos(), 0);
         assertThat(received.remoteRegions()).isNotEmpty();
-        received.removeExpired(later - Duration.ofMillis(400).toNanos());
+        received.removeExpired(later - Duration.ofMillis(400).toNanos(), 0);
         assertThat(received.remoteRegions()).isEmpty();
         assertThat(received.shareOf("acme", 50, true, NOW).reachableFraction()).isEqualTo(1 / 4.0);
     }
@@ -107,7 +107,7 @@
         receiveAggregate(4, Set.of("self", "relay"), Map.of(endpoint().tag(), usage(5, 900)), AccountUsage.NONE);
         assertThat(endpoint().load(NOW).running()).isEqualTo(5);
         assertThat(received.hasAggregate()).isTrue();
-        received.removeExpired(NOW + 2 * ReceivedReports.MAX_REPORT_AGE.toNanos());
+        received.removeExpired(NOW + 2 * ReceivedReports.MAX_REPORT_AGE.toNanos(), 0);
         assertThat(endpoint().load(NOW).running()).isZero();
         assertThat(received.hasAggregate()).isFalse();
     }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/overload/ArrivalQueue.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/overload/ArrivalQueue.java
@@ -14,8 +14,9 @@
  * <p>Load pattern: more requests than a tenth of a core can handle. In order of arrival each of them is handled when it is too
  * late. So what can still be on time goes first, the most urgent first, and of these the newest: the older ones would be late
  * before the newer ones. A request is refused when its caller has given it up, and when others are kept from being on time by
- * it: if it is late by a whole objective while any other can be on time, or late at all while more urgent ones wait. What is
- * late otherwise is handled when nothing else waits.
+ * it: if it is late by a whole objective while any other can be on time, or late at all while more urgent ones wait. That
+ * holds once requests have waited without a break for a quarter of its objective, so that a single stall refuses nothing
+ * that is still wanted. What is late otherwise is handled when nothing else waits.
  *
  * <p>All times are monotonic nanoseconds. Not thread-safe: confined to the event loop.
  *
@@ -26,18 +27,25 @@
     /** Time from the arrival, in objectives, beyond which it is too late to take time from others. */
     private static final int MAX_OBJECTIVES = 2;
 
+    /** Parts of an objective, for one of which requests have to wait without a break before any is refused to help others. */
+    private static final int STANDING_PARTS = 4;
+
     private static final Comparator<Arrival<?>> URGENCY = Comparator.<Arrival<?>>comparingInt(
                     arrival -> arrival.terms().rank())
             .thenComparing((a, b) -> Long.compare(b.since() - a.since(), 0));
 
     private final List<Arrival<T>> arrivals = new ArrayList<>();
+    private long waitingSince;
 
     /**
      * Adds a request.
      *
      * @param since time since which it may have been waiting
      */
-    public void add(T request, Terms terms, long since) {
+    public void add(T request, Terms terms, long since, long now) {
+        if (arrivals.isEmpty()) {
+            waitingSince = now;
+        }
         arrivals.add(new Arrival<>(request, terms, since));
     }
 
@@ -67,8 +75,9 @@
         boolean othersOnTime = arrivals.stream().anyMatch(arrival -> !arrival.isLate(now, expectedDelay));
         Map<Boolean, List<Arrival<T>>> byRefusal = arrivals.stream()
                 .collect(Collectors.partitioningBy(arrival -> arrival.isGivenUp(now)
-                        || othersOnTime && arrival.isTooLate(now, expectedDelay)
-                        || arrival.terms().rank() > mostUrgent && arrival.isLate(now, expectedDelay)));
+                        || arrival.isStanding(now - waitingSince)
+                                && (othersOnTime && arrival.isTooLate(now, expectedDelay)
+                                        || arrival.terms().rank() > mostUrgent && arrival.isLate(now, expectedDelay))));
         arrivals.clear();
         arrivals.addAll(byRefusal.get(false));
         return byRefusal.get(true).stream().map(Arrival::request).toList();
@@ -103,6 +112,10 @@
                     > MAX_OBJECTIVES * terms.objective().toNanos();
         }
 
+        boolean isStanding(long waitingNanos) {
+            return waitingNanos * STANDING_PARTS >= terms.objective().toNanos();
+        }
+
         boolean isGivenUp(long now) {
             return now - since >= terms.givenUpAfter().toNanos();
         }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/overload/LoopClock.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/overload/LoopClock.java
@@ -94,6 +94,11 @@
         }
     }
 
+    /** Returns whether the present pass has found input. */
+    public boolean hasFoundInput() {
+        return inputSeen;
+    }
+
     /** Records that the loop has read all input that it had found. */
     public void endPass(long now) {
         if (!inputSeen) {
@@ -170,6 +175,11 @@
         return stallCount;
     }
 
+    /** Returns the length of the latest stall, or zero if there was none in the last seconds. */
+    public long latestStallNanos() {
+        return latestStall().nanos();
+    }
+
     /** Returns the stalls of the last seconds, the latest last. */
     Iterable<Stall> stalls() {
         return stalls;
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/overload/ArrivalQueueTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/overload/ArrivalQueueTest.java
@@ -21,17 +21,17 @@
 
     @Test
     void mostUrgentFirstAndTheNewestOfThese() {
-        queue.add("cheap", CHEAP, 900 * MILLI);
-        queue.add("old", URGENT, 100 * MILLI);
-        queue.add("late", URGENT, 0);
-        queue.add("new", URGENT, 800 * MILLI);
+        queue.add("cheap", CHEAP, 900 * MILLI, 900 * MILLI);
+        queue.add("old", URGENT, 100 * MILLI, 900 * MILLI);
+        queue.add("late", URGENT, 0, 900 * MILLI);
+        queue.add("new", URGENT, 800 * MILLI, 900 * MILLI);
         assertThat(queue.takeRefused(1_050 * MILLI, 0)).isEmpty();
         assertThat(drain(1_050 * MILLI)).containsExactly("new", "old", "cheap", "late");
     }
 
     @Test
     void refusesWhatItsCallerHasGivenUp() {
-        queue.add("given up", URGENT, 0);
+        queue.add("given up", URGENT, 0, 900 * MILLI);
         assertThat(queue.takeRefused(3_999 * MILLI, 0)).isEmpty();
         assertThat(queue.takeRefused(4_000 * MILLI, 0)).containsExactly("given up");
         assertThat(queue.isEmpty()).isTrue();
@@ -39,16 +39,24 @@
 
     @Test
     void refusesWhatKeepsOthersFromBeingOnTime() {
-        queue.add("too late", URGENT, 0);
-        queue.add("cheap and late", CHEAP, -1_200 * MILLI);
-        queue.add("on time", URGENT, 1_900 * MILLI);
+        queue.add("too late", URGENT, 0, 900 * MILLI);
+        queue.add("cheap and late", CHEAP, -1_200 * MILLI, 900 * MILLI);
+        queue.add("on time", URGENT, 1_900 * MILLI, 900 * MILLI);
         assertThat(queue.takeRefused(1_900 * MILLI, 200 * MILLI)).containsExactly("too late", "cheap and late");
         assertThat(drain(1_900 * MILLI)).containsExactly("on time");
     }
 
+    @Test
+    void oneStallRefusesNothingThatIsStillWanted() {
+        queue.add("too late", URGENT, 0, 2_100 * MILLI);
+        queue.add("on time", URGENT, 1_900 * MILLI, 2_100 * MILLI);
+        assertThat(queue.takeRefused(2_349 * MILLI, 0)).isEmpty();
+        assertThat(queue.takeRefused(2_350 * MILLI, 0)).containsExactly("too late");
+    }
+
     @Test
     void handlesLateRequestsIfNothingElseWaits() {
-        queue.add("late", URGENT, 0);
+        queue.add("late", URGENT, 0, 900 * MILLI);
         assertThat(queue.takeRefused(2_500 * MILLI, 0)).isEmpty();
         assertThat(queue.takeNext(2_500 * MILLI, 0)).contains("late");
     }
@@ -66,10 +74,10 @@
         long cheapSent = 0;
         for (long now = 0; now < 10_000; now += handling) {
             for (; sent * 1_000 <= now * 60; sent++) {
-                queue.add("u" + sent * 1_000 / 60, URGENT, sent * 1_000 / 60 * MILLI);
+                queue.add("u" + sent * 1_000 / 60, URGENT, sent * 1_000 / 60 * MILLI, now * MILLI);
             }
             for (; cheapSent * 1_000 <= now * 60; cheapSent++) {
-                queue.add("c", CHEAP, cheapSent * 1_000 / 60 * MILLI);
+                queue.add("c", CHEAP, cheapSent * 1_000 / 60 * MILLI, now * MILLI);
             }
             queue.takeRefused(now * MILLI, handling * MILLI);
             String next = queue.takeNext(now * MILLI, handling * MILLI).orElseThrow();
