--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/schedule/AlignedSchedule.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/schedule/AlignedSchedule.java
@@ -20,13 +20,13 @@
     private AlignedSchedule() {}
 
     /**
-     * Runs {@code task} periodically until the returned future is cancelled. As with {@link
-     * ScheduledExecutorService#scheduleAtFixedRate}, an exception ends the repetition.
+     * Runs {@code task} periodically. Times that the loop has missed, because it was late, are left out. An exception of the
+     * task doesn't end the repetition.
      */
-    public static ScheduledFuture<?> repeat(ScheduledExecutorService loop, Runnable task, Duration interval) {
-        long nanos = interval.toNanos();
-        return loop.scheduleAtFixedRate(
-                task, nanosToNext(System.nanoTime() - ORIGIN_NANOS, nanos), nanos, TimeUnit.NANOSECONDS);
+    public static Repetition repeat(ScheduledExecutorService loop, Runnable task, Duration interval) {
+        Repetition repetition = new Repetition(loop, task, interval);
+        repetition.scheduleNext();
+        return repetition;
     }
 
     /** Runs {@code task} once, at the next multiple of {@code interval}. */
@@ -41,4 +41,35 @@
         long remaining = interval - Math.floorMod(elapsed, interval);
         return remaining * 2 < interval ? remaining + interval : remaining;
     }
+
+    /** A task that is repeated until it is cancelled. Thread-safe. */
+    public static final class Repetition {
+
+        private final ScheduledExecutorService loop;
+        private final Runnable task;
+        private final Duration interval;
+        private volatile boolean cancelled;
+
+        private Repetition(ScheduledExecutorService loop, Runnable task, Duration interval) {
+            this.loop = loop;
+            this.task = task;
+            this.interval = interval;
+        }
+
+        private void scheduleNext() {
+            runNext(loop, this::run, interval);
+        }
+
+        private void run() {
+            if (!cancelled) {
+                scheduleNext();
+                task.run();
+            }
+        }
+
+        /** Ends the repetition. */
+        public void cancel() {
+            cancelled = true;
+        }
+    }
 }
