Use other regions only as far as they offer room, and say truly why a request finds no endpoint

What callers saw: a region's hosts all sent to the same idle endpoints of another region; the surplus was refused there. "No endpoint available" was said where endpoints were usable. Change: relays make offers and send them with their region's demand in datagrams of their own (OfferExchange), so that hosts of the previous version go on reading load reports. Router.noDestination says NO_ENDPOINT only if no allowed endpoint is usable.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -331,7 +331,7 @@
         mayHaveRun |= !notRun;
         hostMayHaveRun |= !notRun && upstream.isHost();
         if (notRun && upstream.isHost()) {
-            context.router().recordRefusal(upstream.name(), admitted.service());
+            context.router().recordRefusal(upstream, admitted.service());
         }
         boolean retry = !othersInProgress && shouldRetry(kind);
         refusals += notRun ? 1 : 0;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
@@ -13,6 +13,7 @@
 final class HostUpstream implements Upstream {
 
     private final HostHandle host;
+    private Optional<Duration> retryAfter = Optional.empty();
 
     HostUpstream(HostHandle host) {
         this.host = host;
@@ -70,7 +71,13 @@
 
     @Override
     public void pause(Duration time) {
-        // The other host pauses its endpoint.
+        // The time of a refusal; the other host pauses its own endpoint.
+        retryAfter = Optional.of(time);
+    }
+
+    /** Returns the time after which the host takes such a request, if it has refused this one and named a time. */
+    Optional<Duration> retryAfter() {
+        return retryAfter;
     }
 
     @Override
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -8,10 +8,12 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.toucanlane.domain.outcome.ErrorKind;
 import org.toucanlane.edge.fleet.EndpointHandle;
 import org.toucanlane.edge.fleet.Fleet;
 import org.toucanlane.edge.fleet.HostHandle;
+import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.policy.admission.AdmissionLimit;
 import org.toucanlane.policy.admission.LoadShedder;
 import org.toucanlane.policy.placement.EndpointPlacer;
@@ -30,7 +32,7 @@
     /** Retry delay if no endpoint is available; time for one to recover or for another to register. */
     private static final Duration NO_ENDPOINT_RETRY_AFTER = Duration.ofMillis(500);
 
-    /** Retry delay if all endpoints are cold. */
+    /** Retry delay for an endpoint that is cold. */
     private static final Duration COLD_RETRY_AFTER = Duration.ofMillis(400);
 
     private final Fleet fleet;
@@ -54,7 +56,7 @@
         this.random = random;
         this.candidateFinder = new CandidateFinder(fleet);
         this.rates = new EndpointRates(fleet, hostName, region);
-        this.remoteRegions = new RemoteRegions(fleet, region, candidateFinder, responsive, random);
+        this.remoteRegions = new RemoteRegions(fleet, hostName, region, candidateFinder, responsive, random);
     }
 
     /**
@@ -67,12 +69,21 @@
         long now = System.nanoTime();
         Optional<Destination> destination = findBest(call, tried, now);
         if (destination.isEmpty()) {
-            throw noDestination(call, now);
+            throw noDestination(call, tried, now);
+        }
+        boolean fromCaller = call.forwardedBy().isEmpty() && tried.isEmpty();
+        if (fromCaller) {
+            fleet.offers()
+                    .recordArrival(call.service(), destination.get().placement().newTokens(), now);
         }
         refuseIfOverloaded(call, destination.get());
-        if (call.forwardedBy().isEmpty() && tried.isEmpty()) {
+        if (fromCaller) {
             candidateFinder.recordDemand(call, destination.get().placement(), now);
         }
+        if (destination.get() instanceof Destination.Remote remote) {
+            remoteRegions.recordHop(
+                    remote.host(), call.service(), remote.placement().newTokens(), now);
+        }
         return destination.get();
     }
 
@@ -92,7 +103,7 @@
         Optional<Placement> choice = place(call, candidates);
         boolean fastEnough = choice.isPresent() && choice.get().costMillis() <= RemoteRegions.DISTANCE_MILLIS;
         if (call.forwardedBy().isEmpty() && !fastEnough) {
-            candidates.addAll(remoteRegions.candidates(call, tried, now));
+            candidates.addAll(remoteRegions.candidates(call, choice, tried, now));
             choice = place(call, candidates);
         }
         return choice.flatMap(placement -> destination(placement, tried));
@@ -148,7 +159,8 @@
         return new AdmissionLimit(call.routeBounds().minLatencyObjective(), call.rank());
     }
 
-    private CallRefusedException noDestination(AdmittedCall call, long now) {
+    /** Returns the refusal of a request that no endpoint can take now, with the reason and the time to come back. */
+    private CallRefusedException noDestination(AdmittedCall call, Set<String> tried, long now) {
         List<EndpointHandle> known = fleet.endpointsOf(call.service());
         Optional<Duration> delay = shortestRequestedDelay(call, known, now);
         if (delay.isPresent()) {
@@ -158,22 +170,47 @@
                     "all endpoints of service " + call.service()
                             + " in this region have asked for a pause or for fewer requests");
         }
-        boolean anyCold = known.stream()
-                .anyMatch(endpoint -> isLocal(endpoint) && endpoint.isUsable(now) && endpoint.isCold(now));
-        if (anyCold) {
-            return new CallRefusedException(
-                    ErrorKind.OVERLOADED, COLD_RETRY_AFTER, "remaining endpoints in this region are still warming up");
-        }
         List<EndpointHandle> allowed = known.stream()
                 .filter(endpoint -> call.mayRunIn(fleet.regionOf(endpoint)))
                 .toList();
-        String detail = String.format(
-                "no endpoint available: the service has %d, %d of them in allowed regions (%s), %d of those usable",
-                known.size(),
-                allowed.size(),
-                call.regions().isEmpty() ? "any region" : String.join(", ", call.regions()),
-                allowed.stream().filter(endpoint -> endpoint.isUsable(now)).count());
-        return new CallRefusedException(ErrorKind.NO_ENDPOINT, NO_ENDPOINT_RETRY_AFTER, detail);
+        List<EndpointHandle> usable = allowed.stream()
+                .filter(endpoint -> endpoint.isUsable(now)
+                        && !fleet.isEvacuated(endpoint.entry().dataCentre()))
+                .toList();
+        String regions = call.regions().isEmpty() ? "any region" : String.join(", ", call.regions());
+        if (usable.isEmpty()) {
+            return new CallRefusedException(
+                    ErrorKind.NO_ENDPOINT,
+                    NO_ENDPOINT_RETRY_AFTER,
+                    String.format(
+                            "no endpoint available: the service has %d, %d of them in allowed regions (%s), 0 of those usable",
+                            known.size(), allowed.size(), regions));
+        }
+        List<EndpointHandle> local = usable.stream().filter(this::isLocal).toList();
+        List<EndpointHandle> untried = local.stream()
+                .filter(endpoint -> !tried.contains(endpoint.id()))
+                .toList();
+        Duration retryAfter = Stream.concat(
+                        untried.stream().map(endpoint -> rateDelay(endpoint, now)),
+                        local.size() == usable.size() ? Stream.empty() : remoteRegions.retryAfter(call, now).stream())
+                .min(Comparator.naturalOrder())
+                .orElse(NO_ENDPOINT_RETRY_AFTER);
+        return new CallRefusedException(
+                ErrorKind.OVERLOADED,
+                retryAfter,
+                String.format(
+                        "of %d usable endpoints in allowed regions (%s), %d have been tried, %d are warming up or at their"
+                                + " limit, %d are in other regions, which take no more requests from this one",
+                        usable.size(),
+                        regions,
+                        local.size() - untried.size(),
+                        untried.size(),
+                        usable.size() - local.size()));
+    }
+
+    private Duration rateDelay(EndpointHandle endpoint, long now) {
+        Duration limitDelay = rates.limitDelay(endpoint, now);
+        return limitDelay.isZero() ? COLD_RETRY_AFTER : limitDelay;
     }
 
     /**
@@ -225,9 +262,16 @@
         return fleet.endpoint(name);
     }
 
-    /** Records that a host in another region has refused a request for {@code service}. */
-    void recordRefusal(String host, String service) {
-        remoteRegions.recordRefusal(host, service, System.nanoTime());
+    /** Records that {@code upstream}, if it is a host in another region, has refused a request for {@code service}. */
+    void recordRefusal(Upstream upstream, String service) {
+        if (upstream instanceof HostUpstream host) {
+            remoteRegions.recordRefusal(host.name(), service, host.retryAfter(), System.nanoTime());
+        }
+    }
+
+    /** Registers the metrics of offers between regions. */
+    void registerMetrics(CallMetrics metrics) {
+        remoteRegions.registerMetrics(metrics);
     }
 
     /**
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
@@ -47,7 +47,8 @@
  * with the aggregates received from other regions, to the other hosts of its region, and sends its region's aggregate
  * to the relays of other regions. The traffic of a host is therefore independent of the number of hosts, except at
  * relays, where it grows with the size of their region. While there is evidence of crashes, it takes the same routes in
- * datagrams of its own, which hosts of an earlier version reject without effect on load reports. Not thread-safe:
+ * datagrams of its own, and so do offers between regions; hosts of an earlier version reject them without effect on
+ * load reports. Not thread-safe:
  * confined to the host's event loop.
  */
 public final class Gossip implements AccountLimiter.ShareSource {
@@ -81,6 +82,7 @@
     private final ReceivedReports received;
     private final SegmentAnnouncements segmentAnnouncements = new SegmentAnnouncements();
     private final CrashExchange crashes;
+    private final OfferExchange offers;
     private final Map<Integer, Integer> idleRounds = new HashMap<>();
     private final Set<String> silentHosts = new HashSet<>();
     private final Map<String, AccountShare> sharesByAccount = new HashMap<>();
@@ -105,6 +107,7 @@
         this.mirror = mirror;
         this.received = new ReceivedReports(fleet, self.region(), self.name(), sent);
         this.crashes = new CrashExchange(fleet, log, self, quarantine);
+        this.offers = new OfferExchange(fleet, log, self);
         this.routes = new ReportRoutes(self, Map.of(), List.of());
     }
 
@@ -145,6 +148,7 @@
         long now = System.nanoTime();
         rounds++;
         received.removeExpired(now);
+        offers.removeExpired(now);
         updateSilentHosts(now);
         chooseRelays();
         Map<String, AccountUsage> ownUsage = limiter.usage();
@@ -153,6 +157,7 @@
             sendAggregatedReport(ownUsage, now);
         }
         sendCrashReports(now);
+        sendOffers(now);
         segmentAnnouncements.nextRound();
         idleRounds.keySet().removeIf(tag -> fleet.endpointByTag(tag).isEmpty());
     }
@@ -361,6 +366,27 @@
         }
     }
 
+    /** Sends the demand of this host, and as an aggregator the offers of regions, in turn with the other relay. */
+    private void sendOffers(long now) {
+        if (rounds % REMOTE_REGION_ROUNDS == 0) {
+            sendAll(offers.demandDatagrams(now), routes.ownRelays());
+        }
+        if (routes.isAggregator()
+                && rounds % (routes.turns() * REMOTE_REGION_ROUNDS) == (long) routes.turn() * REMOTE_REGION_ROUNDS) {
+            List<byte[]> own = offers.ownOffers(now);
+            sendAll(own, routes.ownRelays());
+            sendAll(own, routes.remoteRelays());
+            sendAll(offers.allOffers(now), routes.members());
+        }
+    }
+
+    private void sendAll(List<byte[]> datagrams, List<HostRecord> receivers) {
+        if (!datagrams.isEmpty() && !receivers.isEmpty()) {
+            receivers.forEach(host -> datagrams.forEach(bytes -> write(bytes, host)));
+            channel.flush();
+        }
+    }
+
     private void write(byte[] bytes, HostRecord host) {
         channel.write(new DatagramPacket(
                 Unpooled.wrappedBuffer(bytes), new InetSocketAddress(host.address(), host.gossipPort())));
@@ -449,6 +475,8 @@
             try {
                 if (CrashReport.isCrashReport(bytes)) {
                     crashes.receive(CrashReport.decode(bytes), System.nanoTime());
+                } else if (OfferReport.isOfferReport(bytes)) {
+                    offers.receive(OfferReport.decode(bytes), System.nanoTime());
                 } else {
                     receive(FleetReport.decode(bytes));
                 }
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/offer/HeldOffer.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/offer/HeldOffer.java
@@ -30,6 +30,7 @@
 
     private final Deque<Sent> sent = new ArrayDeque<>();
     private ServiceOffer part = ServiceOffer.none(ServiceOffer.Demand.NONE);
+    private long sentTokens;
     private long reportedAt;
     private boolean reported;
     private long withdrawnUntil;
@@ -63,8 +64,7 @@
             return false;
         }
         removeSettled();
-        return sent.size() < part.places()
-                && sent.stream().mapToLong(Sent::tokens).sum() + newTokens / 2 <= part.tokens();
+        return sent.size() < part.places() && sentTokens + newTokens / 2 <= part.tokens();
     }
 
     /** Returns the number of places that are left. */
@@ -74,29 +74,33 @@
     }
 
     private boolean isValid(long now) {
-        return reported && now - reportedAt <= MAX_AGE.toNanos() && !isWithdrawn(now);
+        return reported
+                && now - reportedAt <= MAX_AGE.toNanos()
+                && withdrawnFor(now).isZero();
     }
 
-    private boolean isWithdrawn(long now) {
-        return withdrawn && withdrawnUntil - now > 0;
+    /** Returns for how long the offer is withdrawn, or zero if it isn't. */
+    public Duration withdrawnFor(long now) {
+        return withdrawn ? Duration.ofNanos(Math.max(0, withdrawnUntil - now)) : Duration.ZERO;
     }
 
     private void removeSettled() {
         long includedUntil = reportedAt - SETTLE_TIME.toNanos();
         while (!sent.isEmpty() && sent.peekFirst().at() - includedUntil <= 0) {
-            sent.removeFirst();
+            sentTokens -= sent.removeFirst().tokens();
         }
     }
 
     /** Deducts a request that was sent to the region. */
     public void spend(long newTokens, long now) {
         sent.addLast(new Sent(now, newTokens));
+        sentTokens += newTokens;
     }
 
     /** Holds no offer for {@code time}, since the region has refused a request and asked to come back after it. */
     public void withdraw(Duration time, long now) {
         long nanos = Math.min(time.toNanos(), MAX_WITHDRAWAL.toNanos());
-        if (!isWithdrawn(now) || now + nanos - withdrawnUntil > 0) {
+        if (withdrawnFor(now).isZero() || now + nanos - withdrawnUntil > 0) {
             withdrawnUntil = now + nanos;
             withdrawn = true;
         }
