Forget what was sent to a region without reports, and let retries leave a region with room

Requests that need no offer are recorded as sent, too; without a report of the region the record grew without bound. A request for which a host finds no endpoint while its region offers room was refused instead of sent on.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/RemoteRegions.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/RemoteRegions.java
@@ -27,9 +27,10 @@
 /**
  * The endpoints of other regions at which a request may be placed, and the hosts there to which it is forwarded.
  *
- * <p>A region is used while this host holds a part of its offer for the service, and overflow has begun. Two cases need no
- * offer: as long as no report carries any, regions are chosen by their load alone; and requests that no endpoint of this
- * region serves, or that may not run in it, belong to the demand of the other region.
+ * <p>A region is used while this host holds a part of its offer for the service, and overflow has begun. Three cases need no
+ * offer: as long as no report carries any, regions are chosen by their load alone; requests that no endpoint of this region
+ * serves, or that may not run in it, belong to the demand of the other region; and requests for which this host finds no
+ * endpoint although its region offers room itself are exceptions, such as retries.
  *
  * <p>Invariant: a region that has refused a request gets none for the time that it named, or else for {@link
  * #REFUSING_REGION_BACKOFF}. Used on the host's event loop only.
@@ -90,7 +91,7 @@
      * @param tried endpoints and hosts that have already failed the request
      */
     List<PlacementCandidate> candidates(AdmittedCall call, Optional<Placement> local, Set<String> tried, long now) {
-        boolean needsOffer = needsOffer(call);
+        boolean needsOffer = needsOffer(call, local);
         if (needsOffer && local.isPresent() && !overflows(call, local.get())) {
             return List.of();
         }
@@ -121,8 +122,9 @@
                 .filter(other -> !other.equals(region) && call.mayRunIn(other));
     }
 
-    private boolean needsOffer(AdmittedCall call) {
-        return fleet.offers().byRegion().keySet().stream().anyMatch(other -> !other.equals(region))
+    private boolean needsOffer(AdmittedCall call, Optional<Placement> local) {
+        return (local.isPresent() || mayDraw(region, call.service()))
+                && fleet.offers().byRegion().keySet().stream().anyMatch(other -> !other.equals(region))
                 && call.mayRunIn(region)
                 && fleet.endpointsOf(call.service()).stream()
                         .anyMatch(endpoint -> fleet.regionOf(endpoint).equals(region) && !endpoint.isDraining());
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/RouterTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/RouterTest.java
@@ -63,16 +63,20 @@
                 .as("no report carries offers")
                 .isInstanceOf(Destination.Remote.class);
         long now = System.nanoTime() - TimeUnit.SECONDS.toNanos(1);
+        offer("south", 5, now - 1);
         offer("north", 0, now);
+        assertThat(router.choose(call(Set.of()), Set.of("e")))
+                .as("a retry, while this region has room itself")
+                .isInstanceOf(Destination.Remote.class);
+        offer("south", 0, now);
         assertThatThrownBy(() -> router.choose(call(Set.of()), Set.of("e")))
                 .isInstanceOfSatisfying(
                         CallRefusedException.class,
                         refusal -> assertThat(refusal.kind()).isEqualTo(ErrorKind.OVERLOADED));
-        offer("south", 0, now);
-        offer("north", 2, now + 1);
+        offer("north", 3, now + 1);
         assertThat(router.choose(call(Set.of()), Set.of())).isInstanceOf(Destination.Local.class);
         assertThat(router.choose(call(Set.of()), Set.of("e")))
-                .as("the first request without an offer counts, too")
+                .as("the first two requests count, too")
                 .isInstanceOf(Destination.Remote.class);
         assertThatThrownBy(() -> router.choose(call(Set.of()), Set.of("e"))).isInstanceOf(CallRefusedException.class);
         assertThat(router.choose(call(Set.of("north")), Set.of()))
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/offer/HeldOffer.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/offer/HeldOffer.java
@@ -85,14 +85,20 @@
     }
 
     private void removeSettled() {
-        long includedUntil = reportedAt - SETTLE_TIME.toNanos();
-        while (!sent.isEmpty() && sent.peekFirst().at() - includedUntil <= 0) {
+        if (reported) {
+            removeSentUntil(reportedAt - SETTLE_TIME.toNanos());
+        }
+    }
+
+    private void removeSentUntil(long time) {
+        while (!sent.isEmpty() && sent.peekFirst().at() - time <= 0) {
             sentTokens -= sent.removeFirst().tokens();
         }
     }
 
     /** Deducts a request that was sent to the region. */
     public void spend(long newTokens, long now) {
+        removeSentUntil(now - MAX_AGE.toNanos() - SETTLE_TIME.toNanos());
         sent.addLast(new Sent(now, newTokens));
         sentTokens += newTokens;
     }
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/offer/OfferTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/offer/OfferTest.java
@@ -61,6 +61,14 @@
         assertThat(held.covers(0, 800 * MILLI)).isTrue();
     }
 
+    /** Requests that need no offer are recorded, too, also while no report arrives. */
+    @Test
+    void forgetsOldRequestsWithoutReports() {
+        IntStream.range(0, 1_000).forEach(index -> held.spend(10, index * 10 * MILLI));
+        held.update(room(1_000, 100_000), 0);
+        assertThat(held.placesLeft(0)).isBetween(1_000 - 241, 1_000 - 240);
+    }
+
     /** A wait that swings between the two thresholds changes the decision once. */
     @Test
     void overflowEndsWellBelowTheWaitAtWhichItBegan() {
