Keep no trailers of a chunked request

Callers that send trailers behind a chunked body ended a host's process: each field of five bytes became an entry with two strings, up to the limit on the size of a head for each connection, and until the idle time if the trailers don't end. No request is forwarded with trailers. They are now validated and counted as before, and dropped.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -113,7 +113,8 @@
                     protected void initChannel(Channel connection) {
                         HttpDecoderConfig decoderConfig = new HttpDecoderConfig()
                                 .setMaxInitialLineLength(MAX_LINE_BYTES)
-                                .setMaxHeaderSize(server.limits.maxHeaderBytes());
+                                .setMaxHeaderSize(server.limits.maxHeaderBytes())
+                                .setTrailersFactory(DiscardedTrailers.FACTORY);
                         connection
                                 .pipeline()
                                 .addLast(new HttpServerCodec(decoderConfig), new ServerChannelHandler(server));
