Let the oldest incomplete body give way when the memory is taken

Callers that stopped just short of the end of their bodies held the memory for bodies until the idle time, a byte now and then for ever; everybody else's body was refused. The budget was 40 MiB, also where the direct memory is smaller.

The budget is now a part of the direct memory (unchanged from 64 MiB on). When it is taken, incomplete bodies of a second or more are rejected (408: not run), the oldest first; long ones for long ones. Counter toucanlane.connections.closed with the reason oldest_body.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -291,6 +291,11 @@
                 "toucanlane.segments.quarantined",
                 "prompt segments that are kept from endpoints because endpoints crashed on them",
                 () -> quarantine.quarantined(System.nanoTime()).size());
+        metrics.registerCounter(
+                "toucanlane.connections.closed",
+                "reason",
+                "oldest_body",
+                () -> servers.stream().mapToLong(HttpServer::bodiesRejected).sum());
         metrics.registerGauge(
                 "toucanlane.connections.busy",
                 "connections of callers and hosts with a request",
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -12,10 +12,13 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.internal.PlatformDependent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -48,15 +51,6 @@
     /** Added to the idle time, so that a caller that uses all of it isn't disconnected by a late timer. */
     private static final Duration IDLE_MARGIN = Duration.ofSeconds(2);
 
-    /** Maximum size of a short body; long ones leave memory for these. */
-    private static final long MAX_SHORT_BODY_BYTES = 256 << 10;
-
-    /** Maximum size of all long bodies together; below the direct memory of the process. */
-    private static final long MAX_LONG_BODIES_BYTES = 28L << 20;
-
-    /** Maximum size of all bodies together; the direct memory beyond is for reads and writes. */
-    private static final long MAX_BODIES_BYTES = 40L << 20;
-
     private final RequestHandler handler;
     private final BodyBudget bodyBudget;
     private final Set<ServerChannelHandler> connections = new HashSet<>();
@@ -64,6 +58,7 @@
     private Channel channel;
     private ScheduledFuture<?> expiryTimer;
     private boolean draining;
+    private long bodiesRejected;
 
     private HttpServer(RequestHandler handler, BodyBudget bodyBudget) {
         this.bodyBudget = Preconditions.checkNotNull(bodyBudget, "bodyBudget");
@@ -72,7 +67,7 @@
 
     /** Returns a budget for the bodies of all servers of a process, which is used on one event loop only. */
     public static BodyBudget newBodyBudget() {
-        return new BodyBudget(MAX_SHORT_BODY_BYTES, MAX_LONG_BODIES_BYTES, MAX_BODIES_BYTES);
+        return BodyBudget.within(PlatformDependent.maxDirectMemory());
     }
 
     /**
@@ -140,6 +135,21 @@
         connections.stream().toList().forEach(connection -> connection.closeIfExpired(now));
     }
 
+    /**
+     * Rejects the request whose body has been incomplete for longest among those that give way to a body of
+     * {@code bytes} on {@code requester}, for which there is no memory. Returns whether there was one.
+     */
+    boolean rejectOldestBody(ServerChannelHandler requester, long bytes) {
+        long now = System.nanoTime();
+        Optional<ServerChannelHandler> oldest = connections.stream()
+                .filter(connection -> connection != requester)
+                .filter(connection -> bodyBudget.givesWay(connection.heldBytes(), connection.bodyAge(now), bytes))
+                .max(Comparator.comparingLong(connection -> connection.bodyAge(now)));
+        oldest.ifPresent(ServerChannelHandler::rejectBody);
+        bodiesRejected += oldest.isPresent() ? 1 : 0;
+        return oldest.isPresent();
+    }
+
     /** Sets new limits. */
     public void setLimits(CallerLimits newLimits) {
         limits = newLimits;
@@ -163,6 +173,11 @@
         connections.stream().toList().forEach(ServerChannelHandler::close);
     }
 
+    /** Returns how many requests were rejected because their incomplete bodies gave way to others. */
+    public long bodiesRejected() {
+        return bodiesRejected;
+    }
+
     /** Returns the number of connections with a request in progress or a response that has not been sent completely. */
     public long busyConnections() {
         return connections.stream().filter(ServerChannelHandler::isBusy).count();
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestBody.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestBody.java
@@ -42,6 +42,11 @@
         return true;
     }
 
+    /** Returns the size that the budget has granted. */
+    long granted() {
+        return granted;
+    }
+
     @Override
     protected void deallocate() {
         super.deallocate();
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -26,6 +26,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.BooleanSupplier;
 
 /**
  * Handles one connection of an {@link HttpServer}: reads complete requests and answers them in order.
@@ -49,6 +50,7 @@
     private ByteBuf body;
 
     private long bodyBytes;
+    private long bodyBegunAt;
     private ChannelResponder activeResponder;
     private ChannelFuture lastResponseWrite;
     private boolean discardingInput;
@@ -123,13 +125,38 @@
         }
         head = request;
         bodyBytes = 0;
+        bodyBegunAt = System.nanoTime();
         if (length == 0) {
             body = Unpooled.EMPTY_BUFFER;
-        } else if (server.bodyBudget().resize(0, length)) {
+        } else if (findMemory(length, () -> server.bodyBudget().resize(0, length))) {
             body = new RequestBody(context.alloc(), server.bodyBudget(), length);
         }
     }
 
+    /** Repeats {@code attempt} to get memory for a body of {@code bytes} while older bodies give way to it. */
+    private boolean findMemory(long bytes, BooleanSupplier attempt) {
+        boolean found = attempt.getAsBoolean();
+        while (!found && server.rejectOldestBody(this, bytes)) {
+            found = attempt.getAsBoolean();
+        }
+        return found;
+    }
+
+    /** Returns the memory that is granted to an incomplete body, or 0. */
+    long heldBytes() {
+        return body instanceof RequestBody incomplete ? incomplete.granted() : 0;
+    }
+
+    /** Returns the time in nanoseconds since the head of the request that is being read was read. */
+    long bodyAge(long now) {
+        return now - bodyBegunAt;
+    }
+
+    /** Rejects the request whose body is being read. */
+    void rejectBody() {
+        reject(ServerRejection.Reason.TOO_SLOW);
+    }
+
     private void readContent(HttpContent content) {
         ByteBuf bytes = content.content();
         bodyBytes += bytes.readableBytes();
@@ -141,7 +168,8 @@
             if (body == Unpooled.EMPTY_BUFFER) {
                 body = new RequestBody(context.alloc(), server.bodyBudget(), 0);
             }
-            if (!((RequestBody) body).append(bytes)) {
+            RequestBody current = (RequestBody) body;
+            if (!findMemory(bodyBytes, () -> current.append(bytes))) {
                 body.release();
                 body = null;
             }
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/admission/BodyBudgetTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/admission/BodyBudgetTest.java
@@ -38,4 +38,28 @@
         assertThat(budget.resize(27 * MIB, 0)).isTrue();
         assertThat(budget.total()).isZero();
     }
+
+    @Test
+    void takesAPartOfASmallMemory() {
+        BodyBudget small = BodyBudget.within(32 * MIB);
+        assertThat(small.resize(0, 14 * MIB)).isTrue();
+        assertThat(small.resize(0, 1 + 256 * KIB)).isFalse();
+        assertThat(IntStream.range(0, 100)
+                        .filter(i -> small.resize(0, 256 * KIB))
+                        .count())
+                .isEqualTo(24);
+        assertThat(BodyBudget.within(1L << 40).resize(0, 28 * MIB)).isTrue();
+    }
+
+    /** Bodies that stop short of their end keep their memory for as long as a connection may be idle. */
+    @Test
+    void letsOldIncompleteBodiesGiveWay() {
+        long old = BodyBudget.MIN_EVICTION_AGE.toNanos();
+        assertThat(budget.givesWay(4 * MIB, old, 1)).isTrue();
+        assertThat(budget.givesWay(4 * MIB, old, 4 * MIB)).isTrue();
+        assertThat(budget.givesWay(KIB, old, KIB)).isTrue();
+        assertThat(budget.givesWay(KIB, old, 4 * MIB)).isFalse();
+        assertThat(budget.givesWay(4 * MIB, old - 1, 1)).isFalse();
+        assertThat(budget.givesWay(0, old, 1)).isFalse();
+    }
 }
