Handle the next request when the response before it has been sent

Callers that sent requests ahead and read nothing had one whole response after the other put in their connections' buffers; with the direct memory full, calls to the store failed and everybody's requests were refused.

The next request of a connection is now handled when the response before it has been handed over to the system; behind a request in progress at most 64 KiB of content is read. Counter toucanlane.connections.closed with the reason unread_responses.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -28,13 +28,13 @@
 import org.toucanlane.edge.http.RequestHandler;
 import org.toucanlane.edge.http.ResponseFault;
 import org.toucanlane.edge.http.ResponseFaultListener;
+import org.toucanlane.edge.http.ServerMemory;
 import org.toucanlane.edge.limit.AccountLimiter;
 import org.toucanlane.edge.state.FreshnessLease;
 import org.toucanlane.edge.state.HostLease;
 import org.toucanlane.edge.state.StoreMirror;
 import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
-import org.toucanlane.policy.admission.BodyBudget;
 import org.toucanlane.policy.quarantine.SegmentQuarantine;
 
 /**
@@ -103,7 +103,7 @@
     private final CallService calls;
     private final HostDirectory directory;
     private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
-    private final BodyBudget bodyBudget = HttpServer.newBodyBudget();
+    private final ServerMemory serverMemory = ServerMemory.create();
     private HttpServer callerServer;
     private HttpServer peerServer;
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -232,7 +232,7 @@
      * @throws IOException if it can't be bound
      */
     public HttpServer listen(InetSocketAddress address, RequestHandler handler) throws IOException {
-        HttpServer server = HttpServer.bind(address, group, handler, bodyBudget);
+        HttpServer server = HttpServer.bind(address, group, handler, serverMemory);
         servers.add(server);
         return server;
     }
@@ -296,6 +296,11 @@
                 "reason",
                 "oldest_body",
                 () -> servers.stream().mapToLong(HttpServer::bodiesRejected).sum());
+        metrics.registerCounter(
+                "toucanlane.connections.closed",
+                "reason",
+                "unread_responses",
+                () -> servers.stream().mapToLong(HttpServer::unreadClosed).sum());
         metrics.registerGauge(
                 "toucanlane.connections.busy",
                 "connections of callers and hosts with a request",
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -12,7 +12,6 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.util.internal.PlatformDependent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -52,32 +51,33 @@
     private static final Duration IDLE_MARGIN = Duration.ofSeconds(2);
 
     private final RequestHandler handler;
-    private final BodyBudget bodyBudget;
+    private final ServerMemory memory;
     private final Set<ServerChannelHandler> connections = new HashSet<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
     private Channel channel;
     private ScheduledFuture<?> expiryTimer;
     private boolean draining;
     private long bodiesRejected;
+    private long unreadClosed;
 
-    private HttpServer(RequestHandler handler, BodyBudget bodyBudget) {
-        this.bodyBudget = Preconditions.checkNotNull(bodyBudget, "bodyBudget");
+    private HttpServer(RequestHandler handler, ServerMemory memory) {
+        this.memory = Preconditions.checkNotNull(memory, "memory");
         this.handler = Preconditions.checkNotNull(handler, "handler");
     }
 
     /** Returns a budget for the bodies of all servers of a process, which is used on one event loop only. */
     public static BodyBudget newBodyBudget() {
-        return BodyBudget.within(PlatformDependent.maxDirectMemory());
+        return ServerMemory.create().bodies();
     }
 
     /**
-     * Binds a server with a body budget of its own to {@code address}.
+     * Binds a server with memory of its own to {@code address}.
      *
      * @throws IOException if the address can't be bound
      */
     public static HttpServer bind(InetSocketAddress address, EventLoopGroup loops, RequestHandler handler)
             throws IOException {
-        return bind(address, loops, handler, newBodyBudget());
+        return bind(address, loops, handler, ServerMemory.create());
     }
 
     /**
@@ -86,9 +86,9 @@
      * @throws IOException if the address can't be bound
      */
     public static HttpServer bind(
-            InetSocketAddress address, EventLoopGroup loops, RequestHandler handler, BodyBudget bodyBudget)
+            InetSocketAddress address, EventLoopGroup loops, RequestHandler handler, ServerMemory memory)
             throws IOException {
-        HttpServer server = new HttpServer(handler, bodyBudget);
+        HttpServer server = new HttpServer(handler, memory);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
@@ -143,7 +143,7 @@
         long now = System.nanoTime();
         Optional<ServerChannelHandler> oldest = connections.stream()
                 .filter(connection -> connection != requester)
-                .filter(connection -> bodyBudget.givesWay(connection.heldBytes(), connection.bodyAge(now), bytes))
+                .filter(connection -> memory.bodies().givesWay(connection.heldBytes(), connection.bodyAge(now), bytes))
                 .max(Comparator.comparingLong(connection -> connection.bodyAge(now)));
         oldest.ifPresent(ServerChannelHandler::rejectBody);
         bodiesRejected += oldest.isPresent() ? 1 : 0;
@@ -178,6 +178,11 @@
         return bodiesRejected;
     }
 
+    /** Returns how many connections were closed because their callers left too much of their responses unread. */
+    public long unreadClosed() {
+        return unreadClosed;
+    }
+
     /** Returns the number of connections with a request in progress or a response that has not been sent completely. */
     public long busyConnections() {
         return connections.stream().filter(ServerChannelHandler::isBusy).count();
@@ -196,7 +201,15 @@
     }
 
     BodyBudget bodyBudget() {
-        return bodyBudget;
+        return memory.bodies();
+    }
+
+    /** Records the unsent bytes of a connection, and closes the one with the most while all have too many. */
+    void recordUnsent(ServerChannelHandler connection, long bytes) {
+        memory.unsent().record(connection, bytes).ifPresent(largest -> {
+            unreadClosed++;
+            largest.close();
+        });
     }
 
     int maxBodyBytes() {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -31,8 +32,8 @@
 /**
  * Handles one connection of an {@link HttpServer}: reads complete requests and answers them in order.
  *
- * <p>Invariants: at most one request of the connection is being answered; messages that arrive meanwhile are queued in
- * {@code pending}. A request is not handled if its caller's close has arrived behind it, however long both have waited
+ * <p>Invariants: at most one request of the connection is being answered, until its response has been handed over to the
+ * system; messages that arrive meanwhile are queued in {@code pending}. A request is not handled if its caller's close has arrived behind it, however long both have waited
  * to be read. A body for which the server's {@link org.toucanlane.policy.admission.BodyBudget} has no memory is read and
  * dropped, and its request refused. Used on one event loop only.
  */
@@ -41,8 +42,12 @@
     /** Number of queued messages at which reading is paused: enough for a few pipelined requests. */
     private static final int MAX_PENDING = 64;
 
+    /** Size of the queued content at which reading is paused. */
+    private static final int MAX_PENDING_BYTES = 64 << 10;
+
     private final HttpServer server;
     private final Deque<HttpObject> pending = new ArrayDeque<>();
+    private int pendingBytes;
     private ChannelHandlerContext context;
     private HttpRequest head;
 
@@ -73,9 +78,10 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         lastActivity = System.nanoTime();
-        if (activeResponder != null) {
+        if (isAnswering()) {
             pending.addLast((HttpObject) message);
-            if (pending.size() >= MAX_PENDING) {
+            pendingBytes += bytes(message);
+            if (pending.size() >= MAX_PENDING || pendingBytes >= MAX_PENDING_BYTES) {
                 ctx.channel().config().setAutoRead(false);
             }
         } else {
@@ -83,6 +89,15 @@
         }
     }
 
+    /** Returns whether a request is being answered, or its response hasn't been sent completely. */
+    private boolean isAnswering() {
+        return activeResponder != null || (lastResponseWrite != null && !lastResponseWrite.isDone());
+    }
+
+    private static int bytes(Object message) {
+        return message instanceof HttpContent content ? content.content().readableBytes() : 0;
+    }
+
     private void read(HttpObject message) {
         try {
             if (discardingInput) {
@@ -236,14 +251,33 @@
             discardingInput = true;
             return;
         }
-        while (activeResponder == null && !pending.isEmpty()) {
-            read(pending.pollFirst());
+        readPending();
+    }
+
+    private void readPending() {
+        while (!isAnswering() && !pending.isEmpty()) {
+            HttpObject message = pending.pollFirst();
+            pendingBytes -= bytes(message);
+            read(message);
         }
         if (pending.isEmpty() && !context.channel().config().isAutoRead()) {
             context.channel().config().setAutoRead(true);
         }
     }
 
+    private void onResponseSent() {
+        recordUnsent();
+        if (context.channel().isActive()) {
+            lastActivity = System.nanoTime();
+            readPending();
+        }
+    }
+
+    private void recordUnsent() {
+        ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
+        server.recordUnsent(this, unsent == null ? 0 : unsent.totalPendingWriteBytes());
+    }
+
     /** Closes the connection if it has been idle, or has not completed a request, for too long. */
     void closeIfExpired(long now) {
         boolean readingBody = head != null;
@@ -281,6 +315,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         server.onClosed(this);
+        server.recordUnsent(this, 0);
         releaseBody();
         pending.forEach(ReferenceCountUtil::release);
         pending.clear();
@@ -293,6 +328,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        recordUnsent();
         if (activeResponder != null && activeResponder.listener != null) {
             activeResponder.listener.onWritabilityChanged(ctx.channel().isWritable());
         }
@@ -379,6 +415,10 @@
                 writeFuture.addListener(ChannelFutureListener.CLOSE);
             }
             onResponseEnded(!closeAfter);
+            if (!writeFuture.isDone()) {
+                recordUnsent();
+                writeFuture.addListener(sent -> onResponseSent());
+            }
         }
 
         @Override
