Bound the number of segments that an endpoint is assumed to cache

Segments were forgotten by their tokens only: callers that send a new segment of no tokens with each request took a host's memory without end, and an endpoint without an engine kept these for ever. Empty segments aren't kept now, and at most 4,096 others for each endpoint.

FleetTest.assumesABoundedNumberOfCachedSegments failed before (the first of 4,097 segments was still there) and passes; FleetTest: 16 passed.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
@@ -25,6 +25,9 @@
     /** Fraction of the endpoint's memory that is modelled as prefix cache; running requests use the rest. */
     private static final double PREFIX_CACHE_FRACTION = 0.7;
 
+    /** Maximum number of segments that are assumed to be cached; more would be shorter than any that is worth a choice. */
+    static final int MAX_CACHED_SEGMENTS = 4_096;
+
     /** Weight of a new sample in the exponential moving averages; roughly the last ten samples dominate. */
     private static final double SMOOTHING_FACTOR = 0.15;
 
@@ -170,7 +173,7 @@
     public long cachedTokensOf(List<PromptSegment> segments) {
         long tokens = 0;
         for (PromptSegment segment : segments) {
-            if (!cachedSegments.containsKey(segment.id())) {
+            if (segment.tokens() > 0 && !cachedSegments.containsKey(segment.id())) {
                 return tokens;
             }
             tokens += segment.tokens();
@@ -181,12 +184,13 @@
     /** Records that the endpoint caches {@code segments}, or will once it has processed them. */
     public void recordCached(List<PromptSegment> segments) {
         for (PromptSegment segment : segments) {
-            if (cachedSegments.put(segment.id(), segment.tokens()) == null) {
+            if (segment.tokens() > 0 && cachedSegments.put(segment.id(), segment.tokens()) == null) {
                 cachedTokens += segment.tokens();
             }
         }
         Iterator<Map.Entry<String, Long>> eldest = cachedSegments.entrySet().iterator();
-        while (cachedTokens > memoryTokens * PREFIX_CACHE_FRACTION && eldest.hasNext()) {
+        while ((cachedTokens > memoryTokens * PREFIX_CACHE_FRACTION || cachedSegments.size() > MAX_CACHED_SEGMENTS)
+                && eldest.hasNext()) {
             cachedTokens -= eldest.next().getValue();
             eldest.remove();
         }
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/fleet/FleetTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/fleet/FleetTest.java
@@ -54,6 +54,27 @@
         assertThat(first.isUsable(System.nanoTime())).isFalse();
     }
 
+    /** Callers that send a new segment with each request took memory without end, as empty segments never exceeded it. */
+    @Test
+    void assumesABoundedNumberOfCachedSegments() {
+        fleet.endpointChanged("e", Optional.of(TestFixtures.endpoint("e", "s", "z", State.READY, 1)));
+        EndpointHandle handle = fleet.endpoint("e").orElseThrow();
+        handle.setMemoryTokens(1_000_000);
+        handle.recordCached(List.of(new PromptSegment("first", 1)));
+        for (int i = 0; i < EndpointHandle.MAX_CACHED_SEGMENTS; i++) {
+            handle.recordCached(List.of(new PromptSegment("empty" + i, 0)));
+        }
+        assertThat(handle.cachedTokensOf(List.of(new PromptSegment("first", 1))))
+                .isEqualTo(1);
+        for (int i = 0; i < EndpointHandle.MAX_CACHED_SEGMENTS; i++) {
+            handle.recordCached(List.of(new PromptSegment("short" + i, 1)));
+        }
+        assertThat(handle.cachedTokensOf(List.of(new PromptSegment("first", 1))))
+                .isZero();
+        assertThat(handle.cachedTokensOf(List.of(new PromptSegment("empty", 0), new PromptSegment("short9", 1))))
+                .isEqualTo(1);
+    }
+
     @Test
     void movesAnEndpointToItsNewService() {
         fleet.endpointChanged("e", Optional.of(TestFixtures.endpoint("e", "s", "z", State.READY, 1)));
