Merge the bounds for clients outside the limits

A request that was read ahead counts as waiting since the first message queued behind the request before it, so that its age isn't taken for that of the pass in which it is handled.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -28,6 +28,7 @@
 import org.toucanlane.edge.http.RequestIntake;
 import org.toucanlane.edge.http.ResponseFault;
 import org.toucanlane.edge.http.ResponseFaultListener;
+import org.toucanlane.edge.http.ServerMemory;
 import org.toucanlane.edge.limit.AccountLimiter;
 import org.toucanlane.edge.schedule.AlignedSchedule;
 import org.toucanlane.edge.state.ChangeExchange;
@@ -37,7 +38,6 @@
 import org.toucanlane.edge.state.StoreMirror;
 import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
-import org.toucanlane.policy.admission.BodyBudget;
 import org.toucanlane.policy.overload.LoopClock;
 import org.toucanlane.policy.overload.SilenceAllowance;
 import org.toucanlane.policy.quarantine.SegmentQuarantine;
@@ -110,7 +110,7 @@
     private final LoopMonitor loopMonitor;
     private final RequestIntake intake;
     private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
-    private final BodyBudget bodyBudget = HttpServer.newBodyBudget();
+    private final ServerMemory serverMemory = ServerMemory.create();
     private HttpServer callerServer;
     private HttpServer peerServer;
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -242,7 +242,7 @@
      * @throws IOException if it can't be bound
      */
     public HttpServer listen(InetSocketAddress address, RequestHandler handler) throws IOException {
-        HttpServer server = HttpServer.bind(address, group, handler, bodyBudget, intake);
+        HttpServer server = HttpServer.bind(address, group, handler, serverMemory, intake);
         servers.add(server);
         return server;
     }
@@ -302,6 +302,16 @@
                 "toucanlane.segments.quarantined",
                 "prompt segments that are kept from endpoints because endpoints crashed on them",
                 () -> quarantine.quarantined(System.nanoTime()).size());
+        metrics.registerCounter(
+                "toucanlane.connections.closed",
+                "reason",
+                "oldest_body",
+                () -> servers.stream().mapToLong(HttpServer::bodiesRejected).sum());
+        metrics.registerCounter(
+                "toucanlane.connections.closed",
+                "reason",
+                "unread_responses",
+                () -> servers.stream().mapToLong(HttpServer::unreadClosed).sum());
         metrics.registerGauge(
                 "toucanlane.connections.busy",
                 "connections of callers and hosts with a request",
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -17,7 +17,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.toucanlane.domain.serving.CallerLimits;
 import org.toucanlane.edge.schedule.AlignedSchedule;
@@ -53,17 +55,8 @@
     /** Added to the idle time, so that a caller that uses all of it isn't disconnected by a late timer. */
     private static final Duration IDLE_MARGIN = Duration.ofSeconds(2);
 
-    /** Maximum size of a short body; long ones leave memory for these. */
-    private static final long MAX_SHORT_BODY_BYTES = 256 << 10;
-
-    /** Maximum size of all long bodies together; below the direct memory of the process. */
-    private static final long MAX_LONG_BODIES_BYTES = 28L << 20;
-
-    /** Maximum size of all bodies together; the direct memory beyond is for reads and writes. */
-    private static final long MAX_BODIES_BYTES = 40L << 20;
-
     private final RequestHandler handler;
-    private final BodyBudget bodyBudget;
+    private final ServerMemory memory;
     private final RequestIntake intake;
     private final AcceptClock acceptClock = new AcceptClock(MAX_ACCEPTS_IN_A_ROW, BACKLOG);
     private final Set<ServerChannelHandler> connections = new HashSet<>();
@@ -71,26 +64,28 @@
     private Channel channel;
     private AlignedSchedule.Repetition expiryTimer;
     private boolean draining;
+    private long bodiesRejected;
+    private long unreadClosed;
 
-    private HttpServer(RequestHandler handler, BodyBudget bodyBudget, RequestIntake intake) {
+    private HttpServer(RequestHandler handler, ServerMemory memory, RequestIntake intake) {
         this.intake = Preconditions.checkNotNull(intake, "intake");
-        this.bodyBudget = Preconditions.checkNotNull(bodyBudget, "bodyBudget");
+        this.memory = Preconditions.checkNotNull(memory, "memory");
         this.handler = Preconditions.checkNotNull(handler, "handler");
     }
 
     /** Returns a budget for the bodies of all servers of a process, which is used on one event loop only. */
     public static BodyBudget newBodyBudget() {
-        return new BodyBudget(MAX_SHORT_BODY_BYTES, MAX_LONG_BODIES_BYTES, MAX_BODIES_BYTES);
+        return ServerMemory.create().bodies();
     }
 
     /**
-     * Binds a server with a body budget of its own to {@code address}.
+     * Binds a server with memory of its own to {@code address}.
      *
      * @throws IOException if the address can't be bound
      */
     public static HttpServer bind(InetSocketAddress address, EventLoopGroup loops, RequestHandler handler)
             throws IOException {
-        return bind(address, loops, handler, newBodyBudget(), RequestIntake.unmeasured());
+        return bind(address, loops, handler, ServerMemory.create(), RequestIntake.unmeasured());
     }
 
     /**
@@ -103,10 +98,10 @@
             InetSocketAddress address,
             EventLoopGroup loops,
             RequestHandler handler,
-            BodyBudget bodyBudget,
+            ServerMemory memory,
             RequestIntake intake)
             throws IOException {
-        HttpServer server = new HttpServer(handler, bodyBudget, intake);
+        HttpServer server = new HttpServer(handler, memory, intake);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
@@ -133,7 +128,8 @@
                     protected void initChannel(Channel connection) {
                         HttpDecoderConfig decoderConfig = new HttpDecoderConfig()
                                 .setMaxInitialLineLength(MAX_LINE_BYTES)
-                                .setMaxHeaderSize(server.limits.maxHeaderBytes());
+                                .setMaxHeaderSize(server.limits.maxHeaderBytes())
+                                .setTrailersFactory(DiscardedTrailers.FACTORY);
                         connection
                                 .pipeline()
                                 .addLast(
@@ -156,6 +152,21 @@
         connections.stream().toList().forEach(connection -> connection.closeIfExpired(now));
     }
 
+    /**
+     * Rejects the request whose body has been incomplete for longest among those that give way to a body of
+     * {@code bytes} on {@code requester}, for which there is no memory. Returns whether there was one.
+     */
+    boolean rejectOldestBody(ServerChannelHandler requester, long bytes) {
+        long now = System.nanoTime();
+        Optional<ServerChannelHandler> oldest = connections.stream()
+                .filter(connection -> connection != requester)
+                .filter(connection -> memory.bodies().givesWay(connection.heldBytes(), connection.bodyAge(now), bytes))
+                .max(Comparator.comparingLong(connection -> connection.bodyAge(now)));
+        oldest.ifPresent(ServerChannelHandler::rejectBody);
+        bodiesRejected += oldest.isPresent() ? 1 : 0;
+        return oldest.isPresent();
+    }
+
     /** Sets new limits. */
     public void setLimits(CallerLimits newLimits) {
         limits = newLimits;
@@ -179,6 +190,16 @@
         connections.stream().toList().forEach(ServerChannelHandler::close);
     }
 
+    /** Returns how many requests were rejected because their incomplete bodies gave way to others. */
+    public long bodiesRejected() {
+        return bodiesRejected;
+    }
+
+    /** Returns how many connections were closed because their callers left too much of their responses unread. */
+    public long unreadClosed() {
+        return unreadClosed;
+    }
+
     /** Returns the number of connections with a request in progress or a response that has not been sent completely. */
     public long busyConnections() {
         return connections.stream().filter(ServerChannelHandler::isBusy).count();
@@ -205,7 +226,15 @@
     }
 
     BodyBudget bodyBudget() {
-        return bodyBudget;
+        return memory.bodies();
+    }
+
+    /** Records the unsent bytes of a connection, and closes the one with the most while all have too many. */
+    void recordUnsent(ServerChannelHandler connection, long bytes) {
+        memory.unsent().record(connection, bytes).ifPresent(largest -> {
+            unreadClosed++;
+            largest.close();
+        });
     }
 
     int maxBodyBytes() {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -26,14 +27,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Optional;
-import org.toucanlane.policy.overload.ArrivalQueue;
+import java.util.function.BooleanSupplier;
 
 /**
  * Handles one connection of an {@link HttpServer}: reads complete requests and answers them in order.
  *
- * <p>Invariants: at most one request of the connection is being answered; messages that arrive meanwhile are queued in
- * {@code pending}. A request is not handled if its caller's close has arrived behind it, however long both have waited
+ * <p>Invariants: at most one request of the connection is being answered, until its response has been handed over to the
+ * system; messages that arrive meanwhile are queued in {@code pending}. A request is not handled if its caller's close has arrived behind it, however long both have waited
  * to be read. A body for which the server's {@link org.toucanlane.policy.admission.BodyBudget} has no memory is read and
  * dropped, and its request refused. Used on one event loop only.
  */
@@ -42,10 +42,16 @@
     /** Number of queued messages at which reading is paused: enough for a few pipelined requests. */
     private static final int MAX_PENDING = 64;
 
+    /** Size of the queued content at which reading is paused. */
+    private static final int MAX_PENDING_BYTES = 64 << 10;
+
     private final HttpServer server;
     private final Deque<HttpObject> pending = new ArrayDeque<>();
     private final long openedInPass;
     private final long waitingSince;
+    private int pendingBytes;
+    private long pendingSince;
+    private boolean readingPending;
     private ChannelHandlerContext context;
     private HttpRequest head;
 
@@ -53,6 +59,7 @@
     private ByteBuf body;
 
     private long bodyBytes;
+    private long bodyBegunAt;
     private ChannelResponder activeResponder;
     private ChannelFuture lastResponseWrite;
     private boolean discardingInput;
@@ -82,9 +89,13 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         lastActivity = System.nanoTime();
-        if (activeResponder != null) {
+        if (isAnswering()) {
+            if (pending.isEmpty()) {
+                pendingSince = server.intake().readableSince();
+            }
             pending.addLast((HttpObject) message);
-            if (pending.size() >= MAX_PENDING) {
+            pendingBytes += bytes(message);
+            if (pending.size() >= MAX_PENDING || pendingBytes >= MAX_PENDING_BYTES) {
                 ctx.channel().config().setAutoRead(false);
             }
         } else {
@@ -92,6 +103,15 @@
         }
     }
 
+    /** Returns whether a request is being answered, or its response hasn't been sent completely. */
+    private boolean isAnswering() {
+        return activeResponder != null || (lastResponseWrite != null && !lastResponseWrite.isDone());
+    }
+
+    private static int bytes(Object message) {
+        return message instanceof HttpContent content ? content.content().readableBytes() : 0;
+    }
+
     private void read(HttpObject message) {
         try {
             if (discardingInput) {
@@ -134,13 +154,38 @@
         }
         head = request;
         bodyBytes = 0;
+        bodyBegunAt = System.nanoTime();
         if (length == 0) {
             body = Unpooled.EMPTY_BUFFER;
-        } else if (server.bodyBudget().resize(0, length)) {
+        } else if (findMemory(length, () -> server.bodyBudget().resize(0, length))) {
             body = new RequestBody(context.alloc(), server.bodyBudget(), length);
         }
     }
 
+    /** Repeats {@code attempt} to get memory for a body of {@code bytes} while older bodies give way to it. */
+    private boolean findMemory(long bytes, BooleanSupplier attempt) {
+        boolean found = attempt.getAsBoolean();
+        while (!found && server.rejectOldestBody(this, bytes)) {
+            found = attempt.getAsBoolean();
+        }
+        return found;
+    }
+
+    /** Returns the memory that is granted to an incomplete body, or 0. */
+    long heldBytes() {
+        return body instanceof RequestBody incomplete ? incomplete.granted() : 0;
+    }
+
+    /** Returns the time in nanoseconds since the head of the request that is being read was read. */
+    long bodyAge(long now) {
+        return now - bodyBegunAt;
+    }
+
+    /** Rejects the request whose body is being read. */
+    void rejectBody() {
+        reject(ServerRejection.Reason.TOO_SLOW);
+    }
+
     private void readContent(HttpContent content) {
         ByteBuf bytes = content.content();
         bodyBytes += bytes.readableBytes();
@@ -152,7 +197,8 @@
             if (body == Unpooled.EMPTY_BUFFER) {
                 body = new RequestBody(context.alloc(), server.bodyBudget(), 0);
             }
-            if (!((RequestBody) body).append(bytes)) {
+            RequestBody current = (RequestBody) body;
+            if (!findMemory(bodyBytes, () -> current.append(bytes))) {
                 body.release();
                 body = null;
             }
@@ -173,78 +219,25 @@
         InboundRequest inbound = new InboundRequest(request, fullBody, responder, readableSince());
         // Runs after the read loop, which reads up to the end of what has arrived and so notices a caller that has
         // left.
-        server.intake().accept(context.channel().eventLoop(), new ReadRequest(inbound, complete));
+        server.intake()
+                .accept(
+                        context.channel().eventLoop(),
+                        new ReadRequest(context.channel(), server.handler(), inbound, complete));
     }
 
-    /** The first bytes on a connection may have come while it waited to be accepted. */
+    /**
+     * Returns since when the request may have been waiting. The first bytes on a connection may have come while it waited to
+     * be accepted, and those that were queued behind another request with the first of them.
+     */
     private long readableSince() {
+        if (readingPending) {
+            return pendingSince;
+        }
         return server.intake().isNextPassWithoutIdling(openedInPass)
                 ? waitingSince
                 : server.intake().readableSince();
     }
 
-    /** A request that has been read, and is handled if its caller hasn't left meanwhile. */
-    private final class ReadRequest implements RequestIntake.Arrival {
-
-        private final InboundRequest inbound;
-        private final boolean complete;
-        private Optional<RequestHandler.Prepared> prepared = Optional.empty();
-
-        private ReadRequest(InboundRequest inbound, boolean complete) {
-            this.inbound = inbound;
-            this.complete = complete;
-        }
-
-        @Override
-        public long since() {
-            return inbound.receivedAt();
-        }
-
-        @Override
-        public Optional<ArrivalQueue.Terms> terms() {
-            if (complete && context.channel().isActive()) {
-                closeOnFailure(() -> prepared = server.handler().prepare(inbound));
-            }
-            return prepared.map(RequestHandler.Prepared::terms);
-        }
-
-        @Override
-        public void handle() {
-            ifOpen(() -> {
-                if (prepared.isPresent()) {
-                    prepared.get().handle();
-                } else if (complete) {
-                    server.handler().handle(inbound);
-                } else {
-                    server.handler().refuseForMemory(inbound);
-                }
-            });
-        }
-
-        @Override
-        public void refuseAsLate() {
-            ifOpen(() -> prepared.ifPresent(RequestHandler.Prepared::refuseAsLate));
-        }
-
-        private void ifOpen(Runnable action) {
-            if (context.channel().isActive()) {
-                closeOnFailure(action);
-            } else {
-                inbound.body().release();
-            }
-        }
-
-        private void closeOnFailure(Runnable action) {
-            try {
-                action.run();
-            } catch (RuntimeException e) {
-                // Nothing else would end the request. The event loop logs the failure.
-                context.close();
-                throw e;
-            }
-        }
-    }
-
     private void reject(ServerRejection.Reason reason) {
         discardingInput = true;
         releaseBody();
@@ -270,14 +263,35 @@
             discardingInput = true;
             return;
         }
-        while (activeResponder == null && !pending.isEmpty()) {
-            read(pending.pollFirst());
+        readPending();
+    }
+
+    private void readPending() {
+        readingPending = true;
+        while (!isAnswering() && !pending.isEmpty()) {
+            HttpObject message = pending.pollFirst();
+            pendingBytes -= bytes(message);
+            read(message);
         }
+        readingPending = false;
         if (pending.isEmpty() && !context.channel().config().isAutoRead()) {
             context.channel().config().setAutoRead(true);
         }
     }
 
+    private void onResponseSent() {
+        recordUnsent();
+        if (context.channel().isActive()) {
+            lastActivity = System.nanoTime();
+            readPending();
+        }
+    }
+
+    private void recordUnsent() {
+        ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
+        server.recordUnsent(this, unsent == null ? 0 : unsent.totalPendingWriteBytes());
+    }
+
     /** Closes the connection if it has been idle, or has not completed a request, for too long. */
     void closeIfExpired(long now) {
         boolean readingBody = head != null;
@@ -315,6 +329,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         server.onClosed(this);
+        server.recordUnsent(this, 0);
         releaseBody();
         pending.forEach(ReferenceCountUtil::release);
         pending.clear();
@@ -327,6 +342,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        recordUnsent();
         if (activeResponder != null && activeResponder.listener != null) {
             activeResponder.listener.onWritabilityChanged(ctx.channel().isWritable());
         }
@@ -413,6 +429,10 @@
                 writeFuture.addListener(ChannelFutureListener.CLOSE);
             }
             onResponseEnded(!closeAfter);
+            if (!writeFuture.isDone()) {
+                recordUnsent();
+                writeFuture.addListener(sent -> onResponseSent());
+            }
         }
 
         @Override
