--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/package-info.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/package-info.java
@@ -1,2 +1,2 @@
-/** Queues requests for endpoints fairly between client accounts. */
+/** Queues requests for endpoints, by urgency or fairly between client accounts. */
 package org.toucanlane.policy.queue;
