Let requests wait at the host until an endpoint has room

Callers of a service that urgent and patient routes share got a refusal while its endpoints were full, and came back to endpoints that were still full. Now such a request waits at the host that received it, in the order of the queue, as long as it is expected to be on time. It is tried when a request of the service ends, before a less urgent one arrives and every 20 ms. A caller who leaves frees its place; a host that stops refuses those that wait as not run.

Services whose routes have one priority, or objectives less than a factor of two apart, are served as before.

WaitingCallsTest (6 tests, no network), WaitingCallTest (3, over sockets) and WaitingQueueTest (10) pass.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/AdmittedCall.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/AdmittedCall.java
@@ -45,6 +45,11 @@
         return head.prompt().map(Prompt::sharedContentIds).orElse(List.of());
     }
 
+    /** Returns the name of the client account, or an empty string if the route requires none. */
+    public String accountName() {
+        return account.map(ServingAccount::name).orElse("");
+    }
+
     /** Returns the priority rank of the request within its service; 0 is the most urgent. */
     public int rank() {
         int priority = account.isPresent() && account.get().priority().isPresent()
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -30,6 +30,7 @@
 import org.toucanlane.edge.http.Responder;
 import org.toucanlane.policy.placement.EnginePriority;
 import org.toucanlane.policy.placement.Placement;
+import org.toucanlane.policy.queue.PlaceEstimate;
 import org.toucanlane.policy.retry.AttemptTimeouts;
 import org.toucanlane.policy.retry.RetryBudget;
 import org.toucanlane.policy.retry.RetryPolicy;
@@ -41,7 +42,7 @@
  * made only if the request may run more than once; a response that says "not run" is sent only if no attempt may have run,
  * and no attempt is started after it. Used on the host's event loop only.
  */
-final class Call implements Responder.Listener, AttemptGroup.Listener {
+final class Call implements Responder.Listener, AttemptGroup.Listener, WaitingCalls.Waiter {
 
     /** Retry delay for a refusal without a better estimate; long enough for a few requests to end. */
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(400);
@@ -51,6 +52,7 @@
     private final CallContext context;
     private final InboundRequest inbound;
     private final AdmittedCall admitted;
+    private final CallLog callLog;
     private final CrashSuspects crashSuspects;
     private final Set<String> triedUpstreams = new HashSet<>();
     private final AttemptGroup attempts;
@@ -71,6 +73,7 @@
         this.context = context;
         this.inbound = inbound;
         this.admitted = admitted;
+        this.callLog = new CallLog(context.log(), admitted);
         this.crashSuspects = CrashSuspects.of(inbound, admitted);
         admitted.head().lastEventId().ifPresent(this::resumeAfter);
         this.attempts = new AttemptGroup(lastEvent, new AlternativeLog(context, admitted), this);
@@ -80,8 +83,7 @@
         try {
             lastEvent = Long.parseLong(id);
         } catch (NumberFormatException e) {
-            context.log()
-                    .decision("resume_id_ignored", "request", admitted.head().id(), "id", id);
+            callLog.recordResumeIdIgnored(id);
         }
     }
 
@@ -93,36 +95,59 @@
         }
         long remaining = admitted.deadlineNanos() - System.nanoTime();
         deadlineTimer = context.loop().schedule(this::deadlinePassed, Math.max(0, remaining), TimeUnit.NANOSECONDS);
+        context.waitingCalls().sendThoseBefore(admitted, inbound.receivedAt());
         sendToNextUpstream();
     }
 
     private void sendToNextUpstream() {
         try {
-            context.drainCheck().check(admitted, responseStarted || attempts.isActive());
-            context.quarantineCheck().check(crashSuspects.ids());
-            Destination destination = context.router().choose(admitted, triedUpstreams);
-            estimateMillis = destination.estimateMillis();
-            context.metrics().recordExpectedQueueTime(admitted.service(), destination.waitMillis());
-            if (attempts.size() > 0) {
-                context.metrics().recordRetry(admitted.service());
-            }
-            if (destination instanceof Destination.Local local) {
-                send(local);
-            } else if (destination instanceof Destination.Remote remote) {
-                send(remote);
+            chooseAndSend();
+        } catch (CallRefusedException e) {
+            boolean waits = !responseStarted
+                    && !mayHaveRun
+                    && !attempts.isActive()
+                    && e instanceof EndpointsBusyException busy
+                    && context.waitingCalls().offer(this, admitted, inbound.receivedAt(), busy.estimate());
+            if (!waits) {
+                onNoUpstream(e);
             }
+        }
+    }
+
+    @Override
+    public Optional<PlaceEstimate> sendIfRoom() {
+        try {
+            chooseAndSend();
+            return Optional.empty();
         } catch (CallRefusedException e) {
-            if (attempts.isActive()) {
-                context.log()
-                        .decision(
-                                "alternative_refused",
-                                "request",
-                                admitted.head().id(),
-                                "cause",
-                                String.valueOf(e.getMessage()));
-            } else {
-                endWithoutAttempt(e);
+            if (e.placeEstimate().isEmpty()) {
+                onNoUpstream(e);
             }
+            return e.placeEstimate();
+        }
+    }
+
+    private void chooseAndSend() throws CallRefusedException {
+        context.drainCheck().check(admitted, responseStarted || attempts.isActive());
+        context.quarantineCheck().check(crashSuspects.ids());
+        Destination destination = context.router().choose(admitted, triedUpstreams);
+        estimateMillis = destination.estimateMillis();
+        context.metrics().recordExpectedQueueTime(admitted.service(), destination.waitMillis());
+        if (attempts.size() > 0) {
+            context.metrics().recordRetry(admitted.service());
+        }
+        if (destination instanceof Destination.Local local) {
+            send(local);
+        } else if (destination instanceof Destination.Remote remote) {
+            send(remote);
+        }
+    }
+
+    private void onNoUpstream(CallRefusedException refusal) {
+        if (attempts.isActive()) {
+            callLog.recordAlternativeRefused(refusal);
+        } else {
+            endWithoutAttempt(refusal);
         }
     }
 
@@ -295,16 +320,12 @@
 
     private void recordFirstResponse() {
         firstResponseMillis = elapsedMillis();
-        context.metrics().recordTimeToFirstByte(admitted.route().name(), accountName(), firstResponseMillis);
+        context.metrics().recordTimeToFirstByte(admitted.route().name(), admitted.accountName(), firstResponseMillis);
         if (attempts.size() == 1) {
             context.metrics().recordEstimateRatio(admitted.service(), estimateMillis, firstResponseMillis);
         }
     }
 
-    private String accountName() {
-        return admitted.account().map(ServingAccount::name).orElse("");
-    }
-
     @Override
     public void onRefused(CallRefusedException refusal) {
         endWithoutAttempt(refusal);
@@ -314,19 +335,7 @@
     public void onAttemptFailed(
             Upstream upstream, RetryPolicy.FailureKind kind, String cause, boolean othersInProgress) {
         lastCause = cause;
-        context.log()
-                .decision(
-                        "attempt_failed",
-                        "request",
-                        admitted.head().id(),
-                        "upstream",
-                        upstream.name(),
-                        "kind",
-                        kind,
-                        "fingerprint",
-                        crashSuspects.fingerprint(),
-                        "cause",
-                        cause);
+        callLog.recordAttemptFailed(upstream, kind, crashSuspects, cause);
         boolean notRun = kind != RetryPolicy.FailureKind.MAY_HAVE_RUN;
         mayHaveRun |= !notRun;
         hostMayHaveRun |= !notRun && upstream.isHost();
@@ -371,10 +380,10 @@
         Duration stallTimeout = responseStarted
                 ? AttemptTimeouts.forNextEvent(admitted.route().maxEventGap(), viaHost)
                 : AttemptTimeouts.forFirstResponse(estimateMillis, viaHost);
-        boolean mayWait = now - lastProgressNanos < stallTimeout.toNanos()
-                || !inbound.responder().isWritable();
+        boolean silent = now - lastProgressNanos >= stallTimeout.toNanos();
         RetryBudget budget = context.retryBudgets().forService(admitted.service());
-        if (!mayWait
+        if (silent
+                && inbound.responder().isWritable()
                 && !viaHost
                 && RetryPolicy.allowsAlternative(failure(RetryPolicy.FailureKind.MAY_HAVE_RUN))
                 && budget.isAvailable()
@@ -458,43 +467,33 @@
         }
         finished = true;
         context.repeatableCalls().remove(this);
+        context.waitingCalls().onEnded(this, admitted.service(), attempts.size() > 0);
         if (status == HttpResponseStatus.OK.code()) {
             context.drainCheck().recordResponse(admitted, elapsedMillis());
-            context.metrics().recordTotalTime(admitted.route().name(), accountName(), elapsedMillis());
+            context.metrics().recordTotalTime(admitted.route().name(), admitted.accountName(), elapsedMillis());
         }
         deadlineTimer.cancel(false);
         inbound.body().release();
         attempts.close();
-        context.log()
-                .decision(
-                        "request_" + outcome,
-                        "request",
-                        admitted.head().id(),
-                        "route",
-                        admitted.route().name(),
-                        "account",
-                        accountName(),
-                        "from",
-                        admitted.forwardedBy().orElse(""),
-                        "version",
-                        admitted.configurationVersion(),
-                        "status",
-                        status,
-                        "attempts",
-                        attempts.size(),
-                        "upstream",
-                        attempts.upstreamName(),
-                        "estimate_ms",
-                        estimateMillis,
-                        "first_ms",
-                        firstResponseMillis,
-                        "longest_gap_ms",
-                        longestGapMillis,
-                        "total_ms",
-                        elapsedMillis(),
-                        "after_stop_ms",
-                        context.gracePeriod().millisUntil(inbound.receivedAt()),
-                        "cause",
-                        lastCause);
+        callLog.recordEnd(
+                outcome,
+                "status",
+                status,
+                "attempts",
+                attempts.size(),
+                "upstream",
+                attempts.upstreamName(),
+                "estimate_ms",
+                estimateMillis,
+                "first_ms",
+                firstResponseMillis,
+                "longest_gap_ms",
+                longestGapMillis,
+                "total_ms",
+                elapsedMillis(),
+                "after_stop_ms",
+                context.gracePeriod().millisUntil(inbound.receivedAt()),
+                "cause",
+                lastCause);
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallContext.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallContext.java
@@ -28,6 +28,7 @@
  * @param repeatableCalls requests in progress that may be sent again if they stall
  * @param gracePeriod the time that requests have left once the host is stopping
  * @param drainCheck refuses requests that wouldn't end in that time
+ * @param waitingCalls requests that wait until an endpoint has room
  * @param log decision log
  * @param metrics counters and histograms
  * @param hostName name of this host
@@ -45,6 +46,7 @@
         Set<Call> repeatableCalls,
         GracePeriod gracePeriod,
         DrainCheck drainCheck,
+        WaitingCalls waitingCalls,
         DecisionLog log,
         CallMetrics metrics,
         String hostName) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallRefusedException.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallRefusedException.java
@@ -1,10 +1,12 @@
 package org.toucanlane.edge.call;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.policy.queue.PlaceEstimate;
 
 /** Thrown if this host refuses a request and sends the response itself. */
-public final class CallRefusedException extends Exception {
+public class CallRefusedException extends Exception {
 
     private static final long serialVersionUID = 1;
 
@@ -31,4 +33,11 @@
     public Duration retryAfter() {
         return retryAfter;
     }
+
+    /** Returns when there may be room for a request that waits already, or empty if it may not wait for it. */
+    Optional<PlaceEstimate> placeEstimate() {
+        return kind == ErrorKind.OVERLOADED || kind == ErrorKind.NO_ENDPOINT
+                ? Optional.of(new PlaceEstimate(retryAfter, Duration.ZERO, retryAfter))
+                : Optional.empty();
+    }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -81,6 +81,7 @@
                 new LinkedHashSet<>(),
                 gracePeriod,
                 new DrainCheck(gracePeriod),
+                new WaitingCalls(loop, log, metrics),
                 log,
                 metrics,
                 location.host());
@@ -98,10 +99,11 @@
 
     /**
      * Begins the grace period, after which the requests that are still running are ended. New requests that aren't expected
-     * to end in it are refused.
+     * to end in it are refused, and so are those that wait for an endpoint.
      */
     public void beginGracePeriod(Duration length) {
         context.gracePeriod().begin(System.nanoTime(), length);
+        context.waitingCalls().close();
     }
 
     /** Refuses all new requests; requests in progress continue. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -18,6 +18,7 @@
 import org.toucanlane.policy.placement.Placement;
 import org.toucanlane.policy.placement.PlacementCandidate;
 import org.toucanlane.policy.placement.PromptSize;
+import org.toucanlane.policy.queue.PlaceEstimate;
 
 /**
  * Selects the endpoint or the region for a request, based on this host's view of the fleet.
@@ -61,7 +62,8 @@
      * Chooses the destination of a request.
      *
      * @param tried endpoints and hosts that have already failed the request
-     * @throws CallRefusedException if no destination can take the request now
+     * @throws EndpointsBusyException if the wait at the best destination is too long now; the request may wait
+     * @throws CallRefusedException if no destination can take the request now for another reason
      */
     Destination choose(AdmittedCall call, Set<String> tried) throws CallRefusedException {
         long now = System.nanoTime();
@@ -123,9 +125,13 @@
         Optional<Duration> wait = overloadWait(call, best);
         if (wait.isPresent()) {
             overloadTracker.recordRefusal(call.service(), System.nanoTime());
-            throw new CallRefusedException(
-                    ErrorKind.OVERLOADED,
-                    wait.get(),
+            double untilPlace =
+                    limitFor(call).excessMillis(best.waitMillis(), best.estimateMillis() - best.waitMillis());
+            throw new EndpointsBusyException(
+                    new PlaceEstimate(
+                            Duration.ofMillis((long) untilPlace),
+                            Duration.ofMillis((long) Math.max(0, best.estimateMillis() - untilPlace)),
+                            wait.get()),
                     "estimated time to the first response is " + Math.round(best.estimateMillis()) + " ms");
         }
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/telemetry/CallMetrics.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/telemetry/CallMetrics.java
@@ -62,6 +62,7 @@
     private final Map<String, Timer> queueTimeByService = new HashMap<>();
     private final Map<String, DistributionSummary> estimateRatioByService = new HashMap<>();
     private final Map<ErrorKind, Counter> refusalsByKind = new EnumMap<>(ErrorKind.class);
+    private final Map<String, Supplier<Number>> waitingByService = new HashMap<>();
     private final Map<String, Counter> retriesByService = new HashMap<>();
 
     /** Records the time until a response began. */
@@ -122,6 +123,28 @@
                 .increment();
     }
 
+    /** Registers the number of requests of {@code service} that wait at this host, read at each scrape. */
+    public void registerWaiting(String service, Supplier<Number> value) {
+        String tag = boundedTag(waitingByService, service, MAX_ROUTES);
+        if (waitingByService.putIfAbsent(tag, value) == null) {
+            Gauge.builder("toucanlane.waiting", value)
+                    .description("requests that wait at this host until an endpoint has room")
+                    .tag("service", tag)
+                    .register(registry);
+        }
+    }
+
+    /** Records that a request no longer waits at this host. */
+    public void recordWaited(String service, String reason, double millis) {
+        recordMillis(
+                Timer.builder("toucanlane.waited")
+                        .description("time for which a request waited at this host until an endpoint had room")
+                        .tag("service", boundedTag(waitingByService, service, MAX_ROUTES))
+                        .tag("reason", reason)
+                        .register(registry),
+                millis);
+    }
+
     /** Records the time for which an attempt and its alternative were both in progress. */
     public void recordAlternative(String service, String result, long nanos) {
         Timer.builder("toucanlane.alternative")
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/admission/AdmissionLimit.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/admission/AdmissionLimit.java
@@ -38,7 +38,7 @@
      * @param waitMillis part of the estimated time to the first response that is caused by other requests
      * @param ownMillis remainder of that time, which the request needs at an idle endpoint
      */
-    double excessMillis(double waitMillis, double ownMillis) {
+    public double excessMillis(double waitMillis, double ownMillis) {
         double objectiveMillis = objective.toMillis();
         double fraction =
                 Math.max(MIN_OBJECTIVE_FRACTION, MAX_OBJECTIVE_FRACTION - FRACTION_PER_RANK * Math.max(0, rank));
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/WaitingQueue.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/WaitingQueue.java
@@ -17,8 +17,9 @@
  *
  * <p>Requests that can still be on time go before those that can't, then the more urgent, then those with less time
  * left to their objective, then the smaller ones. A request waits only while its response is expected to begin within
- * its objective. It is held past an eighth of its objective only if a place is expected before its retry would come.
- * One that turns late while it waits stays for at most one retry delay, behind all that can be on time.
+ * its objective. It is held past an eighth of its objective only if a place is then expected before its retry would
+ * come, and not past that time. One that turns late while it waits goes behind all that can be on time, with the same
+ * bound.
  *
  * <p>Invariants: at most {@code maxWaiting} requests wait; every request leaves exactly once, through {@link #remove},
  * {@link #offer}, {@link #expire} or {@link #clear}. Times are {@link System#nanoTime()} values. Not thread-safe.
@@ -146,17 +147,25 @@
             return Optional.of(Reason.NOT_IN_TIME);
         }
         if (ticket.position.late()) {
-            return now > ticket.lateUntilNanos ? Optional.of(Reason.NOT_IN_TIME) : Optional.empty();
+            return now > ticket.heldUntilNanos ? Optional.of(Reason.NOT_IN_TIME) : Optional.empty();
         }
-        if (!isOnTime(ticket, place) && place - now >= ticket.retryAfter.toNanos()) {
+        boolean beforeRetry = place - now < ticket.retryAfter.toNanos();
+        if (!isOnTime(ticket, place) && !beforeRetry) {
             return Optional.of(Reason.NOT_IN_TIME);
         }
-        return isHeld(ticket, place, now) ? Optional.empty() : Optional.of(Reason.HELD);
+        if (now > ticket.heldUntilNanos && beforeRetry && !ticket.extended) {
+            ticket.extended = true;
+            ticket.heldUntilNanos = now + ticket.retryAfter.toNanos();
+        }
+        return now <= ticket.heldUntilNanos ? Optional.empty() : Optional.of(Reason.HELD);
     }
 
     private void moveToLate(Ticket<T> ticket, long now) {
         ticket.position = Position.of(ticket.request, ticket.position.sequence(), true);
-        ticket.lateUntilNanos = now + ticket.retryAfter.toNanos();
+        if (!ticket.extended) {
+            ticket.extended = true;
+            ticket.heldUntilNanos = now + ticket.retryAfter.toNanos();
+        }
         tickets.add(-Collections.binarySearch(tickets, ticket, ORDER) - 1, ticket);
     }
 
@@ -183,9 +192,9 @@
         private final WaitingRequest request;
         private final T item;
         private final long objectiveNanos;
-        private final long heldUntilNanos;
+        private long heldUntilNanos;
         private Position position;
-        private long lateUntilNanos;
+        private boolean extended;
         private long placeNanos;
         private long untilResponseNanos;
         private Duration retryAfter = Duration.ZERO;
