Divide places between the accounts that wait by what they bought

An account that sends several times as many requests as usual filled the queue of its rank, and the others waited behind it. Waiting requests of one rank now go in turns of their accounts, by start-time fair queueing; the weight is the host's part of the account's rate limit, so no new report is needed.

WaitingQueueTest (11 tests, one replays an account at six times its rate) and WaitingCallsTest (6) pass. ScaleMeasurement times queueing; not run yet.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -81,7 +81,12 @@
                 new LinkedHashSet<>(),
                 gracePeriod,
                 new DrainCheck(gracePeriod),
-                new WaitingCalls(loop, log, metrics),
+                new WaitingCalls(
+                        loop,
+                        account -> account.ratePerSecond()
+                                * state.limiter().shareOf(account.name()).fraction(),
+                        log,
+                        metrics),
                 log,
                 metrics,
                 location.host());
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/WaitingCalls.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/WaitingCalls.java
@@ -8,7 +8,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
 import org.toucanlane.domain.outcome.ErrorKind;
+import org.toucanlane.domain.serving.ServingAccount;
 import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
 import org.toucanlane.policy.queue.PlaceEstimate;
@@ -38,6 +41,7 @@
     private static final int MAX_WAITING = 2_000;
 
     private final EventLoop loop;
+    private final ToDoubleFunction<ServingAccount> weightOf;
     private final DecisionLog log;
     private final CallMetrics metrics;
     private final Map<String, ServiceQueue> queues = new HashMap<>();
@@ -45,8 +49,14 @@
     private boolean timerRunning;
     private boolean closed;
 
-    WaitingCalls(EventLoop loop, DecisionLog log, CallMetrics metrics) {
+    /**
+     * Creates queues without requests.
+     *
+     * @param weightOf returns the tokens a second that an account may use at this host, or 0 if it has no limit
+     */
+    WaitingCalls(EventLoop loop, ToDoubleFunction<ServingAccount> weightOf, DecisionLog log, CallMetrics metrics) {
         this.loop = loop;
+        this.weightOf = weightOf;
         this.log = log;
         this.metrics = metrics;
     }
@@ -122,14 +132,15 @@
         return call.forwardedBy().isEmpty() && call.routeBounds().mixesUrgentAndPatient();
     }
 
-    private static WaitingRequest request(AdmittedCall call, long arrival) {
+    private WaitingRequest request(AdmittedCall call, long arrival) {
         return new WaitingRequest(
                 call.rank(),
                 arrival,
                 call.route().latencyObjective(),
                 call.deadlineNanos(),
                 call.head().prompt().map(Prompt::chargedTokens).orElse(0L),
-                call.accountName());
+                call.accountName(),
+                call.account().map(weightOf::applyAsDouble).orElse(0.0));
     }
 
     private ServiceQueue createQueue(String service) {
@@ -185,7 +196,7 @@
                 failed++;
                 service.queue.update(ticket, later.get(), System.nanoTime());
             } else {
-                remove(entry.waiter, "sent");
+                leaveQueue(entry, "sent", service.queue::recordSent);
             }
         }
     }
@@ -196,11 +207,17 @@
     }
 
     private void remove(Waiter waiter, String reason) {
-        Entry entry = entries.remove(waiter);
-        if (entry == null) {
+        Entry entry = entries.get(waiter);
+        if (entry != null) {
+            leaveQueue(entry, reason, entry.service.queue::remove);
+        }
+    }
+
+    private void leaveQueue(Entry entry, String reason, Consumer<WaitingQueue.Ticket<Entry>> removal) {
+        if (entries.remove(entry.waiter) == null) {
             return;
         }
-        entry.service.queue.remove(entry.ticket);
+        removal.accept(entry.ticket);
         metrics.recordWaited(entry.call.service(), reason, entry.waitedMillis());
         log.decision(
                 "queue_left",
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/WaitingCallsTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/WaitingCallsTest.java
@@ -29,7 +29,8 @@
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final CallMetrics metrics = new CallMetrics();
-    private final WaitingCalls calls = new WaitingCalls(channel.eventLoop(), new DecisionLog("test"), metrics);
+    private final WaitingCalls calls =
+            new WaitingCalls(channel.eventLoop(), account -> 0, new DecisionLog("test"), metrics);
     private final List<String> sent = new ArrayList<>();
     private int room;
 
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/WaitingQueue.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/WaitingQueue.java
@@ -5,7 +5,9 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -15,14 +17,15 @@
  * endpoints that are full for seconds. A patient request that is refused comes back to endpoints that are still full;
  * one that waits uses what the urgent requests leave, within its own objective.
  *
- * <p>Requests that can still be on time go before those that can't, then the more urgent, then those with less time
- * left to their objective, then the smaller ones. A request waits only while its response is expected to begin within
+ * <p>Requests that can still be on time go before those that can't, then the more urgent, then those whose account has
+ * had the smaller part of its share since requests began to wait ({@link AccountTurns}), then those with less time left
+ * to their objective, then the smaller ones. A request waits only while its response is expected to begin within
  * its objective. It is held past an eighth of its objective only if a place is then expected before its retry would
  * come, and not past that time. One that turns late while it waits goes behind all that can be on time, with the same
  * bound.
  *
- * <p>Invariants: at most {@code maxWaiting} requests wait; every request leaves exactly once, through {@link #remove},
- * {@link #offer}, {@link #expire} or {@link #clear}. Times are {@link System#nanoTime()} values. Not thread-safe.
+ * <p>Invariants: at most {@code maxWaiting} requests wait; every request leaves exactly once, through
+ * {@link #recordSent}, {@link #remove}, {@link #expire} or {@link #clear}. Times are {@link System#nanoTime()} values. Not thread-safe.
  *
  * @param <T> what the caller keeps for a waiting request
  */
@@ -36,6 +39,7 @@
     private final int maxWaiting;
     private final List<Ticket<T>> tickets = new ArrayList<>();
     private final DecayingRate freedPlaces = new DecayingRate(RATE_TIME_CONSTANT);
+    private final Map<Integer, AccountTurns> turnsByRank = new HashMap<>();
     private long nextSequence;
 
     /**
@@ -60,7 +64,11 @@
 
     /** Returns whether a request waits that goes before {@code request}, which arrives now. */
     public boolean hasRequestBefore(WaitingRequest request) {
-        return !tickets.isEmpty() && tickets.get(0).position.compareTo(Position.of(request, nextSequence, false)) < 0;
+        if (tickets.isEmpty()) {
+            return false;
+        }
+        Position position = Position.of(request, turns(request).turnOf(request), nextSequence);
+        return tickets.get(0).position.compareTo(position) < 0;
     }
 
     /** Returns whether a request still waits. */
@@ -75,13 +83,15 @@
      * @return the request's ticket, or empty if it may not wait
      */
     public Optional<Ticket<T>> offer(WaitingRequest request, T item, PlaceEstimate estimate, long now) {
-        Ticket<T> ticket = new Ticket<>(request, item, nextSequence++);
+        AccountTurns turns = turns(request);
+        Ticket<T> ticket = new Ticket<>(request, item, Position.of(request, turns.turnOf(request), nextSequence++));
         ticket.update(estimate, now);
         int ahead = -Collections.binarySearch(tickets, ticket, ORDER) - 1;
         long begin = expectedPlaceNanos(ticket, ahead, freedPlaces.perNano(now), now);
         if (ahead >= maxWaiting || !isOnTime(ticket, begin) || !isHeld(ticket, begin, now)) {
             return Optional.empty();
         }
+        turns.add(request);
         tickets.add(ahead, ticket);
         return Optional.of(ticket);
     }
@@ -96,16 +106,38 @@
         return List.copyOf(tickets.subList(0, Math.min(count, tickets.size())));
     }
 
-    /** Removes a request that was sent or whose caller has left; returns false if it no longer waits. */
+    /** Removes a request that was sent; returns false if it no longer waits. */
+    public boolean recordSent(Ticket<T> ticket) {
+        turns(ticket.request).advanceTo(ticket.position.turn());
+        return removeTicket(ticket);
+    }
+
+    /** Removes a request that is not to be sent; returns false if it no longer waits. */
     public boolean remove(Ticket<T> ticket) {
+        turns(ticket.request).refund(ticket.request);
+        return removeTicket(ticket);
+    }
+
+    private boolean removeTicket(Ticket<T> ticket) {
         int index = Collections.binarySearch(tickets, ticket, ORDER);
         if (index < 0) {
             return false;
         }
         tickets.remove(index);
+        forgetTurnsIfEmpty();
         return true;
     }
 
+    private AccountTurns turns(WaitingRequest request) {
+        return turnsByRank.computeIfAbsent(request.rank(), rank -> new AccountTurns());
+    }
+
+    private void forgetTurnsIfEmpty() {
+        if (tickets.isEmpty()) {
+            turnsByRank.clear();
+        }
+    }
+
     /**
      * Removes the requests that may not wait any longer, and those beyond the bound.
      *
@@ -121,6 +153,7 @@
             Optional<Reason> reason = kept.size() >= maxWaiting ? Optional.of(Reason.FULL) : reason(ticket, place, now);
             if (reason.isPresent()) {
                 departures.add(new Departure<>(ticket.item, reason.get(), ticket.retryAfter));
+                turns(ticket.request).refund(ticket.request);
             } else if (!ticket.position.late() && !isOnTime(ticket, now)) {
                 late.add(ticket);
             } else {
@@ -131,6 +164,7 @@
             tickets.clear();
             tickets.addAll(kept);
             late.forEach(ticket -> moveToLate(ticket, now));
+            forgetTurnsIfEmpty();
         }
         return departures;
     }
@@ -139,6 +173,7 @@
     public List<T> clear() {
         List<T> items = tickets.stream().map(Ticket::item).toList();
         tickets.clear();
+        forgetTurnsIfEmpty();
         return items;
     }
 
@@ -161,7 +196,7 @@
     }
 
     private void moveToLate(Ticket<T> ticket, long now) {
-        ticket.position = Position.of(ticket.request, ticket.position.sequence(), true);
+        ticket.position = ticket.position.asLate();
         if (!ticket.extended) {
             ticket.extended = true;
             ticket.heldUntilNanos = now + ticket.retryAfter.toNanos();
@@ -199,10 +234,10 @@
         private long untilResponseNanos;
         private Duration retryAfter = Duration.ZERO;
 
-        private Ticket(WaitingRequest request, T item, long sequence) {
+        private Ticket(WaitingRequest request, T item, Position position) {
             this.request = request;
             this.item = item;
-            this.position = Position.of(request, sequence, false);
+            this.position = position;
             this.objectiveNanos = request.objectiveNanos();
             this.heldUntilNanos = request.heldUntilNanos();
         }
@@ -229,21 +264,27 @@
      *
      * @param late whether it can't be on time any more
      * @param rank its urgency rank
+     * @param turn turn of its account
      * @param objectiveNanos time by which its response should begin
      * @param size tokens that it needs
      * @param sequence number in the order of the offers
      */
-    private record Position(boolean late, int rank, long objectiveNanos, long size, long sequence)
+    private record Position(boolean late, int rank, long turn, long objectiveNanos, long size, long sequence)
             implements Comparable<Position> {
 
         private static final Comparator<Position> COMPARATOR = Comparator.comparing(Position::late)
                 .thenComparingInt(Position::rank)
+                .thenComparingLong(Position::turn)
                 .thenComparingLong(Position::objectiveNanos)
                 .thenComparingLong(Position::size)
                 .thenComparingLong(Position::sequence);
 
-        static Position of(WaitingRequest request, long sequence, boolean late) {
-            return new Position(late, request.rank(), request.objectiveNanos(), request.size(), sequence);
+        static Position of(WaitingRequest request, long turn, long sequence) {
+            return new Position(false, request.rank(), turn, request.objectiveNanos(), request.size(), sequence);
+        }
+
+        Position asLate() {
+            return new Position(true, rank, turn, objectiveNanos, size, sequence);
         }
 
         @Override
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/WaitingRequest.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/WaitingRequest.java
@@ -12,9 +12,10 @@
  * @param deadlineNanos time by which the whole response must be delivered, as a {@link System#nanoTime()} value
  * @param size tokens that it needs; 0 for a plain service
  * @param account name of the client account, or an empty string
+ * @param weight tokens a second that the account may use at this host; 0 if it has no limit
  */
 public record WaitingRequest(
-        int rank, long arrivalNanos, Duration objective, long deadlineNanos, long size, String account) {
+        int rank, long arrivalNanos, Duration objective, long deadlineNanos, long size, String account, double weight) {
 
     /** Fraction of the objective for which a request is held without a better place in sight, as a divisor. */
     private static final int HOLD_DIVISOR = 8;
@@ -25,6 +26,7 @@
         Preconditions.checkArgument(
                 !objective.isZero() && !objective.isNegative(), "objective must be positive: %s", objective);
         Preconditions.checkArgument(size >= 0, "size must not be negative: %s", size);
+        Preconditions.checkArgument(weight >= 0, "weight must not be negative: %s", weight);
     }
 
     /** Returns the time by which the response should begin, as a {@link System#nanoTime()} value. */
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/queue/WaitingQueueTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/queue/WaitingQueueTest.java
@@ -5,7 +5,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.toucanlane.policy.admission.AdmissionLimit;
@@ -92,7 +94,7 @@
 
     @Test
     void aRequestWhoseDeadlinePassesBeforeItsPlaceLeaves() {
-        WaitingRequest request = new WaitingRequest(2, 0, PATIENT_OBJECTIVE, 300 * MILLI, 1, "a");
+        WaitingRequest request = new WaitingRequest(2, 0, PATIENT_OBJECTIVE, 300 * MILLI, 1, "a", 0);
         WaitingQueue.Ticket<String> ticket = queue.offer(request, "r", FULL, 0).orElseThrow();
         queue.update(ticket, estimate(200, 0, 500), 150 * MILLI);
         assertThat(queue.expire(150 * MILLI))
@@ -152,7 +154,7 @@
                 unused += next.isEmpty() ? 1 : 0;
                 if (next.isPresent()) {
                     WaitingRequest request = next.get().request();
-                    queue.remove(next.get());
+                    queue.recordSent(next.get());
                     sent[request.rank() == 0 ? 0 : 1]++;
                     long waited = now - request.arrivalNanos() / MILLI;
                     assertThat(waited)
@@ -173,6 +175,49 @@
         assertThat(unused).as("places without a request").isLessThan(20);
     }
 
+    /**
+     * Replays two seconds in which a place for a request of 100 tokens comes free every 10 ms and three accounts have
+     * bought a third of that each. One sends six times as much, one its share, and one a tenth and only in the second half.
+     */
+    @Test
+    void anAccountAtSixTimesItsRateGetsWhatOthersLeave() {
+        Map<String, Integer> arrived = new HashMap<>();
+        Map<String, Integer> sent = new HashMap<>();
+        Map<String, Long> longestWait = new HashMap<>();
+        for (long now = 0; now < 2_000; now++) {
+            offerIf(arrives(now, 20), "busy", now, arrived);
+            offerIf(arrives(now + 7, 3), "usual", now, arrived);
+            offerIf(now >= 1_000 && now % 300 == 5, "small", now, arrived);
+            if (now % 10 == 0) {
+                queue.recordFreedPlace(now * MILLI);
+                for (WaitingQueue.Ticket<String> next : queue.first(1)) {
+                    queue.recordSent(next);
+                    sent.merge(next.item(), 1, Integer::sum);
+                    longestWait.merge(next.item(), now - next.request().arrivalNanos() / MILLI, Math::max);
+                }
+            }
+            if (now % 20 == 0) {
+                queue.expire(now * MILLI);
+            }
+        }
+        assertThat(sent.get("usual")).isGreaterThanOrEqualTo(arrived.get("usual") - 2);
+        assertThat(sent.get("small")).isEqualTo(arrived.get("small"));
+        assertThat(longestWait.get("small")).isLessThanOrEqualTo(125);
+        assertThat(longestWait.get("usual")).isLessThanOrEqualTo(375);
+        assertThat(sent.values().stream().mapToInt(Integer::intValue).sum())
+                .as("requests sent at 200 places")
+                .isGreaterThan(195);
+    }
+
+    private void offerIf(boolean arrives, String account, long now, Map<String, Integer> arrived) {
+        if (arrives) {
+            arrived.merge(account, 1, Integer::sum);
+            WaitingRequest request =
+                    new WaitingRequest(2, now * MILLI, PATIENT_OBJECTIVE, (now + 5_000) * MILLI, 100, account, 3_333);
+            queue.offer(request, account, FULL, now * MILLI);
+        }
+    }
+
     /**
      * A request that joined the line at an engine up to its own long objective would have urgent requests refused there,
      * since the estimate counts all that run.
@@ -216,7 +261,7 @@
     }
 
     private static WaitingRequest request(int rank, long arrivalMillis, Duration objective, long size) {
-        return new WaitingRequest(rank, arrivalMillis * MILLI, objective, 5_000 * MILLI, size, "account");
+        return new WaitingRequest(rank, arrivalMillis * MILLI, objective, 5_000 * MILLI, size, "account", 0);
     }
 
     private static PlaceEstimate estimate(long untilPlace, long untilResponse, long retryAfter) {
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/ScaleMeasurement.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/ScaleMeasurement.java
@@ -26,12 +26,16 @@
 import org.toucanlane.domain.configuration.InvalidConfigurationException;
 import org.toucanlane.domain.configuration.Manifest;
 import org.toucanlane.domain.configuration.ServiceDocument;
+import org.toucanlane.policy.queue.PlaceEstimate;
+import org.toucanlane.policy.queue.WaitingQueue;
+import org.toucanlane.policy.queue.WaitingRequest;
 import org.toucanlane.policy.routing.EndpointSelector;
 import org.toucanlane.policy.routing.EndpointView;
 
 /**
  * Measures the core data structures in this process, without hosts, at the target deployment size: applying a
- * configuration version, admitting requests against a token limit and selecting an endpoint.
+ * configuration version, admitting requests against a token limit, selecting an endpoint, and queueing a request and
+ * taking the first of those that wait.
  */
 final class ScaleMeasurement implements Measurement {
 
@@ -40,6 +44,7 @@
     private static final int ENDPOINTS = 800;
     private static final int LOAD_ROUNDS = 10;
     private static final int CALLS = 200_000;
+    private static final int WAITING = 2_000;
 
     @Override
     public void run(Path work, long seed, ObjectNode result) throws IOException, InterruptedException {
@@ -57,6 +62,7 @@
         for (int candidates : new int[] {16, 64, 800}) {
             measureSelection(candidates, seed, result.putObject("choose_among_" + candidates));
         }
+        measureQueue(result.putObject("queue_among_" + WAITING));
     }
 
     private static ConfigurationSnapshot measureSnapshotLoad(Path root, ObjectNode result)
@@ -137,4 +143,28 @@
         Arrays.sort(nanos);
         row.put("p50_us", nanos[calls / 2] / 1e3).put("p99_us", nanos[calls * 99 / 100] / 1e3);
     }
+
+    private static void measureQueue(ObjectNode row) {
+        WaitingQueue<Integer> queue = new WaitingQueue<>(2 * WAITING);
+        PlaceEstimate estimate = new PlaceEstimate(Duration.ZERO, Duration.ZERO, Duration.ofSeconds(1));
+        Duration objective = Duration.ofMinutes(1);
+        int calls = CALLS / 10;
+        long[] nanos = new long[calls];
+        for (int i = -WAITING; i < calls; i++) {
+            long started = System.nanoTime();
+            WaitingRequest request = new WaitingRequest(
+                    i & 3, started, objective, started + objective.toNanos(), i & 1023, "account-" + i % 16, 10_000);
+            queue.offer(request, i, estimate, started);
+            if (i >= 0) {
+                queue.recordFreedPlace(started);
+                queue.first(1).forEach(queue::recordSent);
+                nanos[i] = System.nanoTime() - started;
+            }
+        }
+        Arrays.sort(nanos);
+        row.put("p50_us", nanos[calls / 2] / 1e3).put("p99_us", nanos[calls * 99 / 100] / 1e3);
+        long started = System.nanoTime();
+        queue.expire(started);
+        row.put("expire_us", (System.nanoTime() - started) / 1e3).put("waiting", queue.size());
+    }
 }
