Measure the rate of free places while requests wait

The rate of ended requests before a burst is that of the few requests which came, and counting from zero gave too low a rate for another second; a queue judged by it refused requests that the endpoints could serve. The rate is now measured from the moment at which requests begin to wait.

--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/DecayingRate.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/DecayingRate.java
@@ -6,21 +6,24 @@
 /**
  * The rate of events, weighted by an exponential decay of their age.
  *
- * <p>A rate that stops falls to a third after one time constant. Not thread-safe.
+ * <p>Events before the start count as unknown, not as none, so that the rate is right from the first events on. A rate
+ * that stops falls to a third after one time constant. Not thread-safe.
  */
 final class DecayingRate {
 
     private final double timeConstantNanos;
+    private final long startNanos;
     private double events;
     private long updatedNanos;
 
-    /** Creates a rate without events. */
-    DecayingRate(Duration timeConstant) {
+    /** Creates a rate without events that is measured from {@code start} on. */
+    DecayingRate(Duration timeConstant, long start) {
         Preconditions.checkArgument(
                 !timeConstant.isZero() && !timeConstant.isNegative(),
                 "timeConstant must be positive: %s",
                 timeConstant);
         this.timeConstantNanos = timeConstant.toNanos();
+        this.startNanos = start;
     }
 
     /** Records an event at {@code now}. */
@@ -31,7 +34,8 @@
 
     /** Returns the events per nanosecond at {@code now}; 0 before the first event. */
     double perNano(long now) {
-        return decayed(now) / timeConstantNanos;
+        double age = Math.max(1, now - startNanos);
+        return decayed(now) / (timeConstantNanos * -Math.expm1(-age / timeConstantNanos));
     }
 
     private double decayed(long now) {
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/WaitingQueue.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/WaitingQueue.java
@@ -38,8 +38,8 @@
 
     private final int maxWaiting;
     private final List<Ticket<T>> tickets = new ArrayList<>();
-    private final DecayingRate freedPlaces = new DecayingRate(RATE_TIME_CONSTANT);
     private final Map<Integer, AccountTurns> turnsByRank = new HashMap<>();
+    private DecayingRate freedPlaces = new DecayingRate(RATE_TIME_CONSTANT, 0);
     private long nextSequence;
 
     /**
@@ -52,9 +52,14 @@
         this.maxWaiting = maxWaiting;
     }
 
-    /** Records that a request of the service has ended at an endpoint, which leaves its place to another. */
+    /**
+     * Records that a request of the service has ended at an endpoint, which leaves its place to another. Counts only while
+     * requests wait, since the places are not all in use otherwise.
+     */
     public void recordFreedPlace(long now) {
-        freedPlaces.record(now);
+        if (!tickets.isEmpty()) {
+            freedPlaces.record(now);
+        }
     }
 
     /** Returns the number of waiting requests. */
@@ -83,6 +88,9 @@
      * @return the request's ticket, or empty if it may not wait
      */
     public Optional<Ticket<T>> offer(WaitingRequest request, T item, PlaceEstimate estimate, long now) {
+        if (tickets.isEmpty()) {
+            freedPlaces = new DecayingRate(RATE_TIME_CONSTANT, now);
+        }
         AccountTurns turns = turns(request);
         Ticket<T> ticket = new Ticket<>(request, item, Position.of(request, turns.turnOf(request), nextSequence++));
         ticket.update(estimate, now);
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/queue/WaitingQueueTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/queue/WaitingQueueTest.java
@@ -51,14 +51,15 @@
     void refusesAtOnceWhatCannotBeginInTime() {
         assertThat(queue.offer(request(0, 0, URGENT_OBJECTIVE, 1), "late", estimate(900, 200, 2_000), 0))
                 .isEmpty();
+        offer("first", request(2, 0, PATIENT_OBJECTIVE, 1), 0);
         freePlaces(10, 100);
-        int admitted = 0;
+        int admitted = 1;
         while (offer("r", request(2, 1_000, PATIENT_OBJECTIVE, 1), 1_000).isPresent()) {
             admitted++;
         }
         assertThat(admitted)
                 .as("requests in the queue at about 10 places a second and 3 s")
-                .isBetween(15, 30);
+                .isBetween(25, 32);
     }
 
     @Test
--- a/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/ScaleMeasurement.java
+++ b/toucanlane-standins/src/main/java/org/toucanlane/standins/measure/ScaleMeasurement.java
@@ -163,8 +163,12 @@
         }
         Arrays.sort(nanos);
         row.put("p50_us", nanos[calls / 2] / 1e3).put("p99_us", nanos[calls * 99 / 100] / 1e3);
-        long started = System.nanoTime();
-        queue.expire(started);
-        row.put("expire_us", (System.nanoTime() - started) / 1e3).put("waiting", queue.size());
+        for (int i = 0; i < calls; i++) {
+            long started = System.nanoTime();
+            queue.expire(started);
+            nanos[i] = System.nanoTime() - started;
+        }
+        Arrays.sort(nanos);
+        row.put("expire_p99_us", nanos[calls * 99 / 100] / 1e3).put("waiting", queue.size());
     }
 }
