Stop the periodic task in the tests of waiting requests

WaitingCallsTest.triesAFewRequestsInAPassWhileThereIsNoRoom failed once beside a load average of 21, since the periodic task ran in it too and made more tries. The test's event loop now has a clock of its own; the check is unchanged, and one of the periodic task is added.

--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/WaitingCallsTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/WaitingCallsTest.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.toucanlane.domain.outcome.ErrorKind;
 import org.toucanlane.domain.serving.LimitUnit;
@@ -34,6 +35,12 @@
     private final List<String> sent = new ArrayList<>();
     private int room;
 
+    /** Stops the periodic task, so that only the events of a test cause tries. */
+    @BeforeEach
+    void freezeTime() {
+        channel.freezeTime();
+    }
+
     @Test
     void sendsTheMostUrgentWhenARequestEnds() {
         Caller patient = waiting("patient", 2);
@@ -98,6 +105,10 @@
         channel.runPendingTasks();
         assertThat(callers.stream().mapToInt(caller -> caller.tries).sum()).isEqualTo(4);
         assertThat(calls.size()).isEqualTo(50);
+        room = 50;
+        channel.advanceTimeBy(20, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        assertThat(sent).as("sent by the periodic task").hasSize(32);
     }
 
     @Test
