Take a waiting request's cost back only once

A request that left by expiry gave its cost back to its account's counter twice, so the account could go a turn too early.

WaitingQueueTest (11), WaitingCallsTest (6), FairQueueTest (5) and LoadShedderTest (7) pass.

--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/WaitingQueue.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/WaitingQueue.java
@@ -122,6 +122,9 @@
 
     /** Removes a request that is not to be sent; returns false if it no longer waits. */
     public boolean remove(Ticket<T> ticket) {
+        if (!contains(ticket)) {
+            return false;
+        }
         turns(ticket.request).refund(ticket.request);
         return removeTicket(ticket);
     }
