--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -83,6 +83,12 @@
                 new LinkedHashSet<>(),
                 gracePeriod,
                 new DrainCheck(gracePeriod),
+                new WaitingCalls(
+                        loop,
+                        account -> account.ratePerSecond()
+                                * state.limiter().shareOf(account.name()).fraction(),
+                        log,
+                        metrics),
                 log,
                 metrics,
                 location.host());
@@ -100,10 +106,11 @@
 
     /**
      * Begins the grace period, after which the requests that are still running are ended. New requests that aren't expected
-     * to end in it are refused.
+     * to end in it are refused, and so are those that wait for an endpoint.
      */
     public void beginGracePeriod(Duration length) {
         context.gracePeriod().begin(System.nanoTime(), length);
+        context.waitingCalls().close();
     }
 
     /** Refuses all new requests; requests in progress continue. */
