Count a waiting request once, and let only a lack of room withdraw an offer

A request that waits is tried every 20 ms; each try counted as an arrival in the demand from which a region's offers are made. And any refusal of one host, also of one that stops, withdrew the offers of its whole region for the time that it named; now only a refusal for want of room does, others for a quarter of a second as before.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -101,7 +101,7 @@
 
     private void sendToNextUpstream() {
         try {
-            chooseAndSend();
+            chooseAndSend(context.router()::choose);
         } catch (CallRefusedException e) {
             boolean waits = !responseStarted
                     && !mayHaveRun
@@ -117,7 +117,7 @@
     @Override
     public Optional<PlaceEstimate> sendIfRoom() {
         try {
-            chooseAndSend();
+            chooseAndSend(context.router()::chooseAgain);
             return Optional.empty();
         } catch (CallRefusedException e) {
             if (e.placeEstimate().isEmpty()) {
@@ -127,10 +127,10 @@
         }
     }
 
-    private void chooseAndSend() throws CallRefusedException {
+    private void chooseAndSend(Router.Choice choice) throws CallRefusedException {
         context.drainCheck().check(admitted, responseStarted || attempts.isActive());
         context.quarantineCheck().check(crashSuspects.ids());
-        Destination destination = context.router().choose(admitted, triedUpstreams);
+        Destination destination = choice.choose(admitted, triedUpstreams);
         estimateMillis = destination.estimateMillis();
         context.metrics().recordExpectedQueueTime(admitted.service(), destination.waitMillis());
         if (attempts.size() > 0) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import org.toucanlane.domain.outcome.ErrorKind;
 import org.toucanlane.edge.fleet.HostHandle;
 import org.toucanlane.edge.fleet.Reservation;
 import org.toucanlane.edge.http.ExchangeListener;
@@ -13,6 +14,7 @@
 final class HostUpstream implements Upstream {
 
     private final HostHandle host;
+    private Optional<HopHeaders.HopRefusal> refusal = Optional.empty();
     private Optional<Duration> retryAfter = Optional.empty();
 
     HostUpstream(HostHandle host) {
@@ -26,7 +28,8 @@
 
     @Override
     public Optional<HopHeaders.HopRefusal> readRefusal(HttpResponse response) {
-        return HopHeaders.readRefusal(response);
+        refusal = HopHeaders.readRefusal(response);
+        return refusal;
     }
 
     @Override
@@ -75,9 +78,12 @@
         retryAfter = Optional.of(time);
     }
 
-    /** Returns the time after which the host takes such a request, if it has refused this one and named a time. */
+    /**
+     * Returns the time after which the host's region takes such a request, if it has refused this one for want of room and
+     * named a time.
+     */
     Optional<Duration> retryAfter() {
-        return retryAfter;
+        return refusal.filter(known -> known.kind() == ErrorKind.OVERLOADED).flatMap(known -> retryAfter);
     }
 
     @Override
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -68,18 +68,31 @@
      * @throws CallRefusedException if no destination can take the request now for another reason
      */
     Destination choose(AdmittedCall call, Set<String> tried) throws CallRefusedException {
+        return choose(call, tried, call.forwardedBy().isEmpty() && tried.isEmpty());
+    }
+
+    /**
+     * Chooses the destination of a request that has been waiting for one. It has been counted as demand
+     * already.
+     *
+     * @throws CallRefusedException as {@link #choose(AdmittedCall, Set)}
+     */
+    Destination chooseAgain(AdmittedCall call, Set<String> tried) throws CallRefusedException {
+        return choose(call, tried, false);
+    }
+
+    private Destination choose(AdmittedCall call, Set<String> tried, boolean isNew) throws CallRefusedException {
         long now = System.nanoTime();
         Optional<Destination> destination = findBest(call, tried, now);
         if (destination.isEmpty()) {
             throw noDestination(call, tried, now);
         }
-        boolean fromCaller = call.forwardedBy().isEmpty() && tried.isEmpty();
-        if (fromCaller) {
+        if (isNew) {
             fleet.offers()
                     .recordArrival(call.service(), destination.get().placement().newTokens(), now);
         }
         refuseIfOverloaded(call, destination.get());
-        if (fromCaller) {
+        if (call.forwardedBy().isEmpty() && tried.isEmpty()) {
             candidateFinder.recordDemand(call, destination.get().placement(), now);
         }
         if (destination.get() instanceof Destination.Remote remote) {
@@ -288,4 +301,11 @@
     void recordPause(EndpointHandle endpoint, double pauseToTarget) {
         candidateFinder.recordPause(endpoint, pauseToTarget);
     }
+
+    /** A way to choose the destination of a request. */
+    interface Choice {
+
+        /** Chooses as {@link Router#choose} does. */
+        Destination choose(AdmittedCall call, Set<String> tried) throws CallRefusedException;
+    }
 }
