Learn how fast each endpoint is, relative to its service

Callers saw: engines of one service at 0.7, 0.7 and 1.7 times the usual speed were judged alike but for a deviation that each host forgot within seconds.

Cause: LatencyEstimator held the constants of one engine, and each host knew only its own few responses.

Change: policy/capacity holds speed: a median over a window of 1.5 s, relative to the median of the service, combined with what other hosts report; a slope on the running requests; the profile of a service from its responses, with the constants as start values. It applies only while an endpoint of the service differs by more than the error of the measurement; else the short-lived deviation, as before. Reports carry what a host measured in the integer that held the usable state; the format of unmeasured endpoints is unchanged.

EndpointPlacerTest: only the new component of EndpointLoad was added.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CandidateFinder.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CandidateFinder.java
@@ -97,7 +97,13 @@
         PromptSize size = call.head().prompt().map(Prompt::size).orElse(PromptSize.NONE);
         fleet.endpoint(placement.endpoint())
                 .ifPresent(endpoint -> demand(call.service())
-                        .record(size, placement.newTokens(), endpoint.entry().slots(), call.regions(), now));
+                        .record(
+                                size,
+                                placement.newTokens(),
+                                endpoint.speed().profile(),
+                                endpoint.entry().slots(),
+                                call.regions(),
+                                now));
     }
 
     private StreamPauses pauses(String service) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/EndpointHandle.java
@@ -10,6 +10,9 @@
 import org.toucanlane.coordination.hash.RendezvousHash;
 import org.toucanlane.domain.serving.EndpointRegistration;
 import org.toucanlane.edge.http.ChannelPool;
+import org.toucanlane.policy.capacity.EndpointSpeed;
+import org.toucanlane.policy.capacity.ServiceSpeeds;
+import org.toucanlane.policy.capacity.SpeedEstimate;
 import org.toucanlane.policy.health.EndpointHealth;
 import org.toucanlane.policy.placement.EndpointLoad;
 import org.toucanlane.policy.placement.EndpointRateShare;
@@ -25,27 +28,9 @@
     /** Fraction of the endpoint's memory that is modelled as prefix cache; running requests use the rest. */
     private static final double PREFIX_CACHE_FRACTION = 0.7;
 
-    /** Weight of a new sample in the exponential moving averages; roughly the last ten samples dominate. */
+    /** Weight of a new sample in the exponential moving average of failures; roughly the last ten samples dominate. */
     private static final double SMOOTHING_FACTOR = 0.15;
 
-    /** Lower clamp for the slowness ratio of one response, so that a single outlier cannot dominate the average. */
-    private static final double MIN_SLOWNESS = 0.4;
-
-    /** Upper clamp for the slowness ratio of one response. */
-    private static final double MAX_SLOWNESS = 6;
-
-    /**
-     * Half-life with which the slowness decays towards 1 while there are no responses. Without decay, a measurement
-     * that was inflated by this host's own startup would persist.
-     */
-    private static final Duration SLOWNESS_HALF_LIFE = Duration.ofSeconds(2);
-
-    /** Initial mean service time of an engine, used until a request has been measured. */
-    private static final double INITIAL_ENGINE_MILLIS = 800;
-
-    /** Initial mean service time of an endpoint without an engine profile. */
-    private static final double INITIAL_PLAIN_MILLIS = 40;
-
     /**
      * An endpoint with running requests that sends no byte for this long counts as stalled and gets no new requests.
      */
@@ -66,6 +51,7 @@
     private final ChannelPool pool;
     private final long idHash;
     private final EndpointHealth health = new EndpointHealth(EJECTION_THRESHOLD, BASE_EJECTION_TIME, MAX_EJECTION_TIME);
+    private final EndpointSpeed speed;
     private final RequestLimit requestLimit = new RequestLimit();
     private final Map<String, RemoteUsage> remoteUsageBySource = new LinkedHashMap<>();
     private final LinkedHashMap<String, Long> cachedSegments = new LinkedHashMap<>(64, 0.75f, true);
@@ -75,11 +61,9 @@
     private int running;
     private long pendingTokens;
     private long usedTokens;
-    private double slowness = 1;
-    private long slownessAt = System.nanoTime();
+    private EndpointLoad lastLoad;
     private double failureRate;
     private long failureRateAt = System.nanoTime();
-    private double serviceMillis;
     private long lastProgressAt = System.nanoTime();
     private long coldUntil = System.nanoTime();
     private long coldSince = System.nanoTime();
@@ -88,12 +72,12 @@
     private long pausedUntil = System.nanoTime();
     private boolean draining;
 
-    EndpointHandle(EndpointRegistration entry, ChannelPool pool, long memoryTokens) {
+    EndpointHandle(EndpointRegistration entry, ChannelPool pool, long memoryTokens, ServiceSpeeds speeds) {
         this.entry = entry;
         this.pool = pool;
         this.memoryTokens = memoryTokens;
         this.idHash = RendezvousHash.hash(entry.id());
-        this.serviceMillis = memoryTokens > 0 ? INITIAL_ENGINE_MILLIS : INITIAL_PLAIN_MILLIS;
+        this.speed = speeds.add(entry.id(), this::reportedSpeed, System.nanoTime());
         update(entry);
     }
 
@@ -201,16 +185,36 @@
         usedTokens += residentTokens;
     }
 
-    void firstResponseReceived(long prefillTokens, double observedMillis, double estimatedMillis, long now) {
+    /** Returns what is known before a request is sent that has to prefill {@code newTokens}. */
+    EndpointSpeed.Expectation expectation(long newTokens, double estimatedMillis) {
+        EndpointLoad load = lastLoad == null ? load(System.nanoTime()) : lastLoad;
+        return new EndpointSpeed.Expectation(
+                estimatedMillis,
+                load.slowdownFactor(),
+                load.meanServiceMillis(),
+                load.isEngine(),
+                load.pendingPromptTokens(),
+                newTokens,
+                load.running());
+    }
+
+    void firstResponseReceived(
+            long prefillTokens, EndpointSpeed.Expectation expectation, double observedMillis, long now) {
         pendingTokens -= prefillTokens;
-        double current = slowness(now);
-        double ratio = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, observedMillis * current / estimatedMillis));
-        slowness = current + SMOOTHING_FACTOR * (ratio - current);
-        slownessAt = now;
+        speed.recordFirstResponse(expectation, observedMillis, now);
     }
 
-    private double slowness(long now) {
-        return 1 + (slowness - 1) * decay(now - slownessAt, SLOWNESS_HALF_LIFE);
+    private SpeedEstimate reportedSpeed() {
+        SpeedEstimate sum = SpeedEstimate.NONE;
+        for (RemoteUsage remote : remoteUsageBySource.values()) {
+            sum = sum.plus(remote.usage().speed());
+        }
+        return sum;
+    }
+
+    /** Returns what is known of the endpoint's speed. */
+    public EndpointSpeed speed() {
+        return speed;
     }
 
     private static double decay(long nanos, Duration halfLife) {
@@ -221,7 +225,7 @@
         running--;
         usedTokens -= residentTokens;
         if (complete) {
-            serviceMillis += SMOOTHING_FACTOR * (observedMillis - serviceMillis);
+            speed.recordServiceTime(observedMillis, System.nanoTime());
         }
     }
 
@@ -301,20 +305,35 @@
         return Optional.ofNullable(remoteUsageBySource.get(source)).map(RemoteUsage::usage);
     }
 
-    /** Returns the load for endpoint selection, including the usage reported by other hosts. */
+    /** Returns the load for endpoint selection, including the usage reported by other hosts. Allocates nothing else. */
     public EndpointLoad load(long now) {
-        EndpointUsage total = totalUsage(now);
-        return new EndpointLoad(
+        int totalRunning = running;
+        long totalPending = pendingTokens;
+        long totalUsed = usedTokens;
+        double slownessSum = speed.deviation(now);
+        int hosts = 1;
+        for (RemoteUsage remote : remoteUsageBySource.values()) {
+            EndpointUsage usage = remote.usage();
+            totalRunning += usage.running();
+            totalPending += usage.pendingTokens();
+            totalUsed += usage.usedTokens();
+            slownessSum += usage.slowness() * usage.hosts();
+            hosts += usage.hosts();
+        }
+        double slowdown = speed.slowdown(slownessSum / hosts, totalRunning, now);
+        lastLoad = new EndpointLoad(
                 entry.id(),
                 idHash,
-                entry.slots(),
-                total.running(),
-                total.pendingTokens(),
-                total.usedTokens(),
+                speed.usefulSlots(entry.slots()),
+                totalRunning,
+                totalPending,
+                totalUsed,
                 memoryTokens,
-                total.slowness(),
+                slowdown,
                 failureRate(now),
-                serviceMillis);
+                speed.meanServiceMillis(now),
+                speed.profile());
+        return lastLoad;
     }
 
     /**
@@ -323,7 +342,8 @@
      */
     public EndpointUsage localUsage(long now) {
         boolean usable = isUsable(now) && requestLimit.named().isEmpty();
-        return new EndpointUsage(running, pendingTokens, usedTokens, usable, slowness(now), 1);
+        return new EndpointUsage(
+                running, pendingTokens, usedTokens, usable, speed.deviation(now), 1, speed.measured(now));
     }
 
     /** Returns the sum of the usage by this host and of the reported usage. */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Fleet.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Fleet.java
@@ -23,6 +23,7 @@
 import org.toucanlane.edge.http.ChannelPool;
 import org.toucanlane.edge.telemetry.DecisionLog;
 import org.toucanlane.edge.telemetry.ResponseFaultLog;
+import org.toucanlane.policy.capacity.ServiceSpeeds;
 
 /**
  * This host's view of the fleet: the active configuration, the endpoints and the other hosts.
@@ -60,6 +61,12 @@
     /** Time in which a configuration that is in force on another host must arrive here, too. */
     private static final Duration MAX_CONFIGURATION_LAG = Duration.ofSeconds(3);
 
+    /** Mean service time of an engine until one has been measured, in milliseconds. */
+    private static final double INITIAL_ENGINE_MILLIS = 800;
+
+    /** Mean service time of an endpoint without an engine profile until one has been measured, in milliseconds. */
+    private static final double INITIAL_PLAIN_MILLIS = 40;
+
     private final EventLoop loop;
     private final DecisionLog log;
     private final String self;
@@ -69,6 +76,7 @@
     private final MonotonicReference<ServingConfiguration> configuration = new MonotonicReference<>();
     private final Map<String, EndpointHandle> endpoints = new HashMap<>();
     private final Map<String, List<EndpointHandle>> endpointsByService = new HashMap<>();
+    private final Map<String, ServiceSpeeds> speedsByService = new HashMap<>();
     private final Map<String, HostHandle> hosts = new HashMap<>();
     private final Map<String, DepartedHost> departedHosts = new HashMap<>();
     private final Map<Integer, EndpointHandle> endpointsByTag = new HashMap<>();
@@ -252,10 +260,26 @@
                 .orElse(0L);
     }
 
+    private ServiceSpeeds speedsOf(String service) {
+        return speedsByService.computeIfAbsent(
+                service,
+                key -> new ServiceSpeeds(
+                        engineMemoryTokens(key) > 0 ? INITIAL_ENGINE_MILLIS : INITIAL_PLAIN_MILLIS,
+                        (endpoint, previous, slowdown) -> log.stateChange(
+                                "endpoint_speed_changed",
+                                "endpoint",
+                                endpoint,
+                                "previous_slowdown",
+                                previous,
+                                "slowdown",
+                                slowdown)));
+    }
+
     private void add(EndpointRegistration entry) {
         Optional<ServingService> service = configuration().flatMap(current -> current.service(entry.service()));
         ChannelPool pool = pools.forEndpoint(entry, service);
-        EndpointHandle handle = new EndpointHandle(entry, pool, engineMemoryTokens(entry.service()));
+        EndpointHandle handle =
+                new EndpointHandle(entry, pool, engineMemoryTokens(entry.service()), speedsOf(entry.service()));
         endpoints.put(entry.id(), handle);
         endpointsByTag.put(handle.tag(), handle);
         indexByService(handle);
@@ -299,6 +323,7 @@
         departures.put(handle.id(), new Departure(handle.entry(), handle.isDraining(), false, now));
         handle.drain();
         endpoints.remove(handle.id(), handle);
+        speedsOf(handle.entry().service()).remove(handle.speed());
         endpointsByTag.remove(handle.tag(), handle);
         List<EndpointHandle> siblings = endpointsByService.get(handle.entry().service());
         if (siblings != null) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Reservation.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Reservation.java
@@ -1,6 +1,7 @@
 package org.toucanlane.edge.fleet;
 
 import java.util.List;
+import org.toucanlane.policy.capacity.EndpointSpeed;
 
 /**
  * Accounts for one request on an endpoint from the time it is sent until it ends.
@@ -14,7 +15,7 @@
     private final EndpointHandle endpoint;
     private final long prefillTokens;
     private final long residentTokens;
-    private final double estimatedMillis;
+    private final EndpointSpeed.Expectation expectation;
     private final long sentAt = System.nanoTime();
     private boolean answered;
     private boolean ended;
@@ -36,7 +37,7 @@
         this.endpoint = endpoint;
         this.prefillTokens = prefillTokens;
         this.residentTokens = residentTokens;
-        this.estimatedMillis = Math.max(1, estimatedMillis);
+        this.expectation = endpoint.expectation(prefillTokens, Math.max(1, estimatedMillis));
         endpoint.requestStarted(prefillTokens, residentTokens, sentAt);
         endpoint.recordCached(segments);
     }
@@ -45,7 +46,7 @@
     public void recordFirstResponse() {
         if (!answered && !ended) {
             answered = true;
-            endpoint.firstResponseReceived(prefillTokens, millisSince(sentAt), estimatedMillis, System.nanoTime());
+            endpoint.firstResponseReceived(prefillTokens, expectation, millisSince(sentAt), System.nanoTime());
         }
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/FleetReport.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/FleetReport.java
@@ -14,6 +14,7 @@
 import org.toucanlane.edge.fleet.PromptSegment;
 import org.toucanlane.edge.limit.AccountUsage;
 import org.toucanlane.edge.state.StoreStatus;
+import org.toucanlane.policy.capacity.SpeedEstimate;
 
 /**
  * The content of one datagram between hosts. Datagrams may be lost or delayed, so each one is self-contained.
@@ -31,6 +32,15 @@
     /** Fixed-point scale of the slowness on the wire. */
     private static final double SLOWNESS_SCALE = 100;
 
+    /** Logarithmic step of a measured speed on the wire; below the error of a measurement. */
+    private static final double SPEED_STEP = 0.025;
+
+    /** Number of steps of a measured speed on the wire, half of them below 1. */
+    private static final int SPEED_STEPS = 256;
+
+    /** Largest number of samples on the wire; keeps the number within three bytes. */
+    private static final int MAX_SPEED_SAMPLES = 4_095;
+
     /** Copies the regions. */
     public FleetReport {
         regions = List.copyOf(regions);
@@ -98,7 +108,7 @@
             out.writeUInt32NoTag(Math.max(0, usage.running()));
             out.writeUInt64NoTag(Math.max(0, usage.pendingTokens()));
             out.writeUInt64NoTag(Math.max(0, usage.usedTokens()));
-            out.writeBoolNoTag(usage.usable());
+            out.writeUInt32NoTag(usage.usable() ? 1 + speedCode(usage.speed()) : 0);
             out.writeUInt32NoTag((int) Math.round(usage.slowness() * SLOWNESS_SCALE));
             out.writeUInt32NoTag(usage.hosts());
         }
@@ -170,13 +180,37 @@
     }
 
     private static EndpointUsage readUsage(CodedInputStream in) throws IOException {
+        int running = in.readUInt32();
+        long pendingTokens = in.readUInt64();
+        long usedTokens = in.readUInt64();
+        int state = in.readUInt32();
         return new EndpointUsage(
-                in.readUInt32(),
-                in.readUInt64(),
-                in.readUInt64(),
-                in.readBool(),
+                running,
+                pendingTokens,
+                usedTokens,
+                state != 0,
                 in.readUInt32() / SLOWNESS_SCALE,
-                in.readUInt32());
+                in.readUInt32(),
+                state > 1 ? speedOf(state - 1) : SpeedEstimate.NONE);
+    }
+
+    /**
+     * Returns the speed as a number that follows the usable state in one variable-length integer, 0 if nothing was
+     * measured. An older host reads any number but 0 as usable.
+     */
+    private static int speedCode(SpeedEstimate speed) {
+        if (!speed.isKnown()) {
+            return 0;
+        }
+        long step = Math.round(Math.log(speed.slowness()) / SPEED_STEP) + SPEED_STEPS / 2;
+        int bounded = (int) Math.max(0, Math.min(SPEED_STEPS - 1, step));
+        return Math.min(speed.samples(), MAX_SPEED_SAMPLES) * SPEED_STEPS + bounded;
+    }
+
+    private static SpeedEstimate speedOf(int code) {
+        int samples = Math.min(code / SPEED_STEPS, MAX_SPEED_SAMPLES);
+        double slowness = Math.exp((code % SPEED_STEPS - SPEED_STEPS / 2) * SPEED_STEP);
+        return samples == 0 ? SpeedEstimate.NONE : new SpeedEstimate(slowness, samples);
     }
 
     private static List<PromptSegment> readSegments(CodedInputStream in) throws IOException {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -269,6 +269,12 @@
                 "toucanlane.endpoints",
                 "endpoints that are registered",
                 () -> fleet.endpoints().size());
+        metrics.registerGauge(
+                "toucanlane.endpoints.uneven",
+                "endpoints that are lastingly faster or slower than the median of their service",
+                () -> fleet.endpoints().stream()
+                        .filter(endpoint -> endpoint.speed().isLasting())
+                        .count());
         metrics.registerGauge("toucanlane.endpoints.usable", "endpoints that this host would send requests to", () -> {
             long now = System.nanoTime();
             return fleet.endpoints().stream()
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/FleetReportTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/FleetReportTest.java
@@ -17,6 +17,7 @@
 import org.toucanlane.edge.fleet.PromptSegment;
 import org.toucanlane.edge.limit.AccountUsage;
 import org.toucanlane.edge.state.StoreStatus;
+import org.toucanlane.policy.capacity.SpeedEstimate;
 
 class FleetReportTest {
 
@@ -58,6 +59,20 @@
         assertThat(FleetReport.decode(bytes)).isEqualTo(report);
     }
 
+    /** A measured speed rides in the usable state, which the previous version reads as true if it isn't 0. */
+    @Test
+    void carriesTheMeasuredSpeedInTheUsableState() throws Exception {
+        for (double slowness : new double[] {0.4, 1, 2.5}) {
+            EndpointUsage usage = new EndpointUsage(1, 2, 3, true, 1, 4, new SpeedEstimate(slowness, 9));
+            RegionReport region = new RegionReport("south", 40, false, Set.of(), Map.of(-9, usage), Map.of(), Map.of());
+            FleetReport decoded = FleetReport.decode(bytes(new FleetReport(REPORT.header(), List.of(region))));
+            EndpointUsage received = decoded.regions().get(0).endpoints().get(-9);
+            assertThat(received.usable()).isTrue();
+            assertThat(received.speed().samples()).isEqualTo(9);
+            assertThat(received.speed().slowness() / slowness).isBetween(0.98, 1.02);
+        }
+    }
+
     @Test
     void rejectsInvalidBytes() {
         for (String text : List.of("", "x", "[]", "{}", "{\"host\":1}", "qqqqqqqqqqqqqqqqqqqqqqqqqqqqqqqq")) {
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/EndpointPlacer.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/EndpointPlacer.java
@@ -56,10 +56,7 @@
                 .map(candidate -> score(candidate, size, limit))
                 .toList();
         double best = scored.stream().mapToDouble(Scored::cost).min().orElse(0);
-        double tolerance = TIE_TOLERANCE_MILLIS
-                + (affinity == 0
-                        ? 0
-                        : AFFINITY_TOLERANCE * size.sharedPrefixTokens() / LatencyEstimator.PREFILL_TOKENS_PER_MILLI);
+        double tolerance = TIE_TOLERANCE_MILLIS + (affinity == 0 ? 0 : affinityMillis(candidates, size));
         List<Scored> close = scored.stream()
                 .filter(entry -> entry.cost() <= best + tolerance)
                 .toList();
@@ -76,6 +73,14 @@
         return Optional.of(chosen.placement());
     }
 
+    private static double affinityMillis(List<PlacementCandidate> candidates, PromptSize size) {
+        return candidates.stream()
+                .findFirst()
+                .map(candidate -> candidate.load().profile().prefillMillis(size.sharedPrefixTokens()))
+                .map(millis -> AFFINITY_TOLERANCE * millis)
+                .orElse(0.0);
+    }
+
     private static Scored highestRanked(List<Scored> close, long affinity) {
         return close.stream()
                 .max(Comparator.comparingLong(
@@ -90,18 +95,18 @@
         double wait = Math.max(0, estimate - LatencyEstimator.unloadedMillis(load, newTokens));
         double cost = estimate
                 + candidate.distanceMillis()
-                + newTokens / LatencyEstimator.PREFILL_TOKENS_PER_MILLI * WORK_WEIGHT
+                + load.profile().prefillMillis(newTokens) * WORK_WEIGHT
                 + load.failureRate() * FAILURE_PENALTY_MILLIS
-                + candidate.misplacement() * misplacementMillis(size, newTokens)
+                + candidate.misplacement() * misplacementMillis(load, size, newTokens)
                 + (limit.admits(wait, estimate - wait + candidate.distanceMillis()) ? 0 : REJECTION_PENALTY_MILLIS);
         return new Scored(
                 load, new Placement(load.endpoint(), estimate, wait, cost, newTokens), candidate.cachedTokens(), cost);
     }
 
     /** Returns the penalty for a request on the wrong side of the division; a long prefill holds up running streams. */
-    private static double misplacementMillis(PromptSize size, long newTokens) {
+    private static double misplacementMillis(EndpointLoad load, PromptSize size, long newTokens) {
         return MISPLACEMENT_PENALTY_MILLIS
-                + (LongPromptPool.isLong(size) ? newTokens / LatencyEstimator.PREFILL_TOKENS_PER_MILLI : 0);
+                + (LongPromptPool.isLong(size) ? load.profile().prefillMillis(newTokens) : 0);
     }
 
     private record Scored(EndpointLoad load, Placement placement, long cachedTokens, double cost) {}
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/LatencyEstimator.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/LatencyEstimator.java
@@ -10,15 +10,6 @@
  */
 public final class LatencyEstimator {
 
-    /** Prompt tokens prefilled per millisecond by an engine of unknown slowdown factor; typical of a single node. */
-    public static final double PREFILL_TOKENS_PER_MILLI = 50;
-
-    /** Milliseconds from the end of prefill to the first event of an idle engine: several decoding steps. */
-    private static final double FIRST_EVENT_MILLIS = 60;
-
-    /** Milliseconds that each running request adds to the first event, since it lengthens every decoding step. */
-    private static final double MILLIS_PER_RUNNING_REQUEST = 0.5;
-
     /** Fraction of the KV cache up to which requests are expected to start without waiting for others to finish. */
     private static final double USABLE_MEMORY_FRACTION = 0.95;
 
@@ -35,8 +26,7 @@
         if (!load.isEngine()) {
             return load.meanServiceMillis() * load.slowdownFactor() + wait;
         }
-        double prefill = (load.pendingPromptTokens() + newTokens) / PREFILL_TOKENS_PER_MILLI;
-        double first = FIRST_EVENT_MILLIS + load.running() * MILLIS_PER_RUNNING_REQUEST + prefill;
+        double first = load.profile().firstResponseMillis(load.pendingPromptTokens() + newTokens, load.running());
         return first * load.slowdownFactor() + Math.max(wait, memoryWaitMillis(load, neededTokens));
     }
 
@@ -46,8 +36,7 @@
      * @param newTokens prompt tokens that are not cached and have to be prefilled; 0 for a plain service
      */
     public static double unloadedMillis(EndpointLoad load, long newTokens) {
-        double unloaded =
-                load.isEngine() ? FIRST_EVENT_MILLIS + newTokens / PREFILL_TOKENS_PER_MILLI : load.meanServiceMillis();
+        double unloaded = load.isEngine() ? load.profile().firstResponseMillis(newTokens, 0) : load.meanServiceMillis();
         return unloaded * load.slowdownFactor();
     }
 
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/PromptDemand.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/PromptDemand.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import org.toucanlane.policy.capacity.EngineProfile;
 
 /**
  * Measures the work that long prompts and other requests cause at the engines of a service, over the last seconds, and
@@ -28,18 +29,28 @@
     private double longMillis;
     private long measuredAt;
 
+    /**
+     * Records a request at an engine of a service that has not been measured.
+     *
+     * @see #record(PromptSize, long, EngineProfile, int, Set, long)
+     */
+    public void record(PromptSize size, long newTokens, int slots, Set<String> regions, long now) {
+        record(size, newTokens, EngineProfile.START, slots, regions, now);
+    }
+
     /**
      * Records a request.
      *
      * @param newTokens prompt tokens that its engine has to prefill
+     * @param profile speed of the service's engines
      * @param slots requests that the engine runs concurrently
      * @param regions regions in which the request may run; empty for any region
      * @param now monotonic time in nanoseconds
      */
-    public void record(PromptSize size, long newTokens, int slots, Set<String> regions, long now) {
+    public void record(
+            PromptSize size, long newTokens, EngineProfile profile, int slots, Set<String> regions, long now) {
         decay(now);
-        double work = newTokens / LatencyEstimator.PREFILL_TOKENS_PER_MILLI
-                + size.maxOutputTokens() * DECODING_STEP_MILLIS / slots;
+        double work = profile.prefillMillis(newTokens) + size.maxOutputTokens() * DECODING_STEP_MILLIS / slots;
         if (LongPromptPool.isLong(size)) {
             longMillis += work;
         } else {
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/placement/EndpointPlacerTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/placement/EndpointPlacerTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.toucanlane.coordination.hash.RendezvousHash;
 import org.toucanlane.policy.admission.AdmissionLimit;
+import org.toucanlane.policy.capacity.EngineProfile;
 
 class EndpointPlacerTest {
 
@@ -62,8 +63,8 @@
 
     @Test
     void avoidsAnEndpointWithAHighFailureRate() {
-        EndpointLoad failing = new EndpointLoad("a", 1, 6, 0, 0, 0, 0, 1, 0.4, 40);
-        EndpointLoad healthy = new EndpointLoad("b", 2, 6, 3, 0, 0, 0, 1, 0, 40);
+        EndpointLoad failing = new EndpointLoad("a", 1, 6, 0, 0, 0, 0, 1, 0.4, 40, EngineProfile.START);
+        EndpointLoad healthy = new EndpointLoad("b", 2, 6, 3, 0, 0, 0, 1, 0, 40, EngineProfile.START);
         List<PlacementCandidate> candidates = List.of(candidate(failing, 0), candidate(healthy, 0));
         assertThat(EndpointPlacer.place(candidates, PromptSize.NONE, LIMIT, 0, random)
                         .orElseThrow()
@@ -131,7 +132,17 @@
 
     private static EndpointLoad loadWithFailures(String id, long pendingPromptTokens, double failureRate) {
         return new EndpointLoad(
-                id, RendezvousHash.hash(id), 64, 10, pendingPromptTokens, 40_000, 348_000, 1, failureRate, 800);
+                id,
+                RendezvousHash.hash(id),
+                64,
+                10,
+                pendingPromptTokens,
+                40_000,
+                348_000,
+                1,
+                failureRate,
+                800,
+                EngineProfile.START);
     }
 
     private static PlacementCandidate candidate(EndpointLoad load, long cachedTokens) {
@@ -140,6 +151,16 @@
 
     private static EndpointLoad load(String id, int running, long pendingPromptTokens) {
         return new EndpointLoad(
-                id, RendezvousHash.hash(id), 64, running, pendingPromptTokens, running * 4_000L, 348_000, 1, 0, 800);
+                id,
+                RendezvousHash.hash(id),
+                64,
+                running,
+                pendingPromptTokens,
+                running * 4_000L,
+                348_000,
+                1,
+                0,
+                800,
+                EngineProfile.START);
     }
 }
