Cap useful slots only while the endpoints of a service differ

A slope can also come from requests that pile up during a pause; services whose endpoints are alike keep all slots, as before.

--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/capacity/EndpointSpeed.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/capacity/EndpointSpeed.java
@@ -197,9 +197,12 @@
 
     /**
      * Returns the number of concurrent requests up to which the endpoint's throughput grows, at most {@code slots}; all
-     * slots unless it is measured to slow down before.
+     * slots unless the endpoints are measured to differ, and this one to slow down before.
      */
     public int usefulSlots(int slots) {
+        if (!service.isUneven()) {
+            return slots;
+        }
         double perRequest = slope.perRequest();
         return perRequest * slots <= 1 ? slots : Math.max(1, (int) Math.round(1 / perRequest));
     }
