Merge the learned speeds of endpoints

Reviewed: the learned profile of a service applied to services whose endpoints are alike, too. Now the start values stay in force until endpoints are measured to differ.

--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/offer/OfferReplayTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/offer/OfferReplayTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.toucanlane.policy.admission.AdmissionLimit;
+import org.toucanlane.policy.capacity.EngineProfile;
 import org.toucanlane.policy.placement.EndpointLoad;
 import org.toucanlane.policy.placement.LatencyEstimator;
 
@@ -35,7 +36,7 @@
     private static final Duration OBJECTIVE = Duration.ofMillis(1_000);
     private static final double MAX_REFUSED_FRACTION = 0.02;
 
-    private static final double CAPACITY_PER_SECOND = ENGINES * LatencyEstimator.PREFILL_TOKENS_PER_MILLI * 1_000;
+    private static final double CAPACITY_PER_SECOND = ENGINES * EngineProfile.START.prefillTokensPerMilli() * 1_000;
     private static final double BUSY = 2.8;
     private static final double CALM = 0.17;
     private static final int MIN_REPORT_DELAY_MILLIS = 200;
@@ -221,8 +222,8 @@
 
         private void step(long now) {
             engines.forEach(engine -> {
-                engine.pending =
-                        Math.max(0, engine.pending - (long) (LatencyEstimator.PREFILL_TOKENS_PER_MILLI * STEP_MILLIS));
+                engine.pending = Math.max(
+                        0, engine.pending - (long) (EngineProfile.START.prefillTokensPerMilli() * STEP_MILLIS));
                 engine.ends.removeIf(end -> end <= now);
             });
         }
@@ -235,7 +236,7 @@
         private boolean usable = true;
 
         private EndpointLoad load() {
-            return new EndpointLoad("e", 1, SLOTS, ends.size(), pending, 0, 1_000_000, 1, 0, 600);
+            return new EndpointLoad("e", 1, SLOTS, ends.size(), pending, 0, 1_000_000, 1, 0, 600, EngineProfile.START);
         }
 
         private double waitMillis() {
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/offer/OfferTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/offer/OfferTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.toucanlane.policy.capacity.EngineProfile;
 import org.toucanlane.policy.placement.EndpointLoad;
 
 class OfferTest {
@@ -83,7 +84,7 @@
 
     @Test
     void offersNothingThatItsOwnCallersNeed() {
-        EndpointLoad idle = new EndpointLoad("e", 1, 16, 0, 0, 0, 500_000, 1, 0, 600);
+        EndpointLoad idle = new EndpointLoad("e", 1, 16, 0, 0, 0, 500_000, 1, 0, 600, EngineProfile.START);
         ServiceOffer offer = SpareCapacity.offer(List.of(idle), ServiceOffer.Demand.NONE, OBJECTIVE, 0);
         assertThat(offer.places()).isBetween(16, 64);
         assertThat(offer.tokens()).isPositive();
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/queue/WaitingQueueTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/queue/WaitingQueueTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.toucanlane.policy.admission.AdmissionLimit;
+import org.toucanlane.policy.capacity.EngineProfile;
 import org.toucanlane.policy.placement.EndpointLoad;
 import org.toucanlane.policy.placement.LatencyEstimator;
 
@@ -242,7 +243,7 @@
     }
 
     private static double waitMillis(int running) {
-        EndpointLoad load = new EndpointLoad("e", 1, 16, running, 0, 0, 300_000, 1, 0, 800);
+        EndpointLoad load = new EndpointLoad("e", 1, 16, running, 0, 0, 300_000, 1, 0, 800, EngineProfile.START);
         return LatencyEstimator.estimateMillis(load, 0, 0) - LatencyEstimator.unloadedMillis(load, 0);
     }
 
