--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallAdmission.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.toucanlane.coordination.hash.RendezvousHash;
 import org.toucanlane.domain.outcome.ErrorKind;
@@ -68,7 +69,7 @@
     AdmittedCall admit(HttpRequest request, CallHead head, long receivedAt) throws CallRefusedException {
         ServingConfiguration configuration = configuration(head);
         ServingRoute route = route(configuration, head);
-        refuseIfGivenUp(termsOf(route, timeLeft(head, route), false), head, receivedAt);
+        refuseIfGivenUp(termsOf(route, Optional.empty(), timeLeft(head, route), false), head, receivedAt);
         Optional<ServingAccount> account = account(configuration, route, head);
         long cost = account.map(holder -> holder.costOf(declaredTokens(head))).orElse(0L);
         if (account.isPresent()) {
@@ -110,7 +111,7 @@
                     "configuration version " + hop.configurationVersion() + " is not in force on this host yet");
         }
         ServingRoute route = route(configuration, head);
-        refuseIfGivenUp(termsOf(route, hop.timeLeft(), true), head, receivedAt);
+        refuseIfGivenUp(termsOf(route, Optional.empty(), hop.timeLeft(), true), head, receivedAt);
         Optional<ServingAccount> account = hop.account().flatMap(configuration::account);
         if (account.isEmpty() && hop.account().isPresent()) {
             throw new CallRefusedException(
@@ -130,27 +131,38 @@
     /** Returns what the caller of a request needs, or empty if the configuration in force has no route for it. */
     Optional<ArrivalQueue.Terms> terms(CallHead head) {
         return fleet.configuration()
-                .flatMap(configuration -> configuration.route(head.host(), head.path()))
-                .map(route -> termsOf(route, timeLeft(head, route), false));
+                .flatMap(configuration -> configuration
+                        .route(head.host(), head.path())
+                        .map(route -> termsOf(
+                                route,
+                                route.open() ? Optional.empty() : head.key().flatMap(configuration::accountOf),
+                                timeLeft(head, route),
+                                false)));
     }
 
     /** As {@link #terms}, for a request that another host has forwarded. */
     Optional<ArrivalQueue.Terms> termsForwarded(HttpRequest request, CallHead head) throws CallRefusedException {
-        Duration timeLeft = readHopHeaders(request).timeLeft();
+        HopHeaders.Hop hop = readHopHeaders(request);
         return fleet.configuration()
-                .flatMap(configuration -> configuration.route(head.host(), head.path()))
-                .map(route -> termsOf(route, timeLeft, true));
+                .flatMap(configuration -> configuration
+                        .route(head.host(), head.path())
+                        .map(route ->
+                                termsOf(route, hop.account().flatMap(configuration::account), hop.timeLeft(), true)));
     }
 
     /** What another host forwards has been read once, so that only its deadline or the silence of a stream ends it. */
-    private static ArrivalQueue.Terms termsOf(ServingRoute route, Duration timeLeft, boolean forwarded) {
+    private static ArrivalQueue.Terms termsOf(
+            ServingRoute route, Optional<ServingAccount> account, Duration timeLeft, boolean forwarded) {
         CallerPatience patience = switch (route.kind()) {
             case IDEMPOTENT -> forwarded ? CallerPatience.ONCE : CallerPatience.REPEATABLE;
             case AT_MOST_ONCE -> CallerPatience.ONCE;
             case STREAM -> CallerPatience.STREAM;
         };
+        OptionalInt priority = account.map(ServingAccount::priority)
+                .filter(OptionalInt::isPresent)
+                .orElse(route.priority());
         return new ArrivalQueue.Terms(
-                route.priority().orElse(0),
+                priority.orElse(0),
                 route.latencyObjective(),
                 patience.givesUpAfter(timeLeft, route.latencyObjective(), route.maxEventGap()));
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -352,7 +352,13 @@
             callerServer.startDraining();
             calls.beginGracePeriod(maxTime);
             draining = true;
-            loop.schedule(calls::refuseNewRequests, DRAIN_ACCEPT_TIME.toMillis(), TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        calls.refuseNewRequests();
+                        intake.handleAll(loop);
+                    },
+                    DRAIN_ACCEPT_TIME.toMillis(),
+                    TimeUnit.MILLISECONDS);
             drain.start();
         });
         try {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -64,6 +64,7 @@
     private Channel channel;
     private AlignedSchedule.Repetition expiryTimer;
     private boolean draining;
+    private long lastAcceptPass;
     private long bodiesRejected;
     private long unreadClosed;
 
@@ -221,7 +222,13 @@
         return intake;
     }
 
+    /** The queue was empty if the next pass didn't read from it, or found no input at once. */
     private long waitingSince() {
+        long pass = intake.pass();
+        if (pass != lastAcceptPass && !intake.isNextPassWithoutIdling(lastAcceptPass)) {
+            acceptClock.queueWasEmpty();
+        }
+        lastAcceptPass = pass;
         return acceptClock.accepted(intake.readableSince(), System.nanoTime());
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ReadRequest.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ReadRequest.java
@@ -37,11 +37,20 @@
     @Override
     public Optional<ArrivalQueue.Terms> terms() {
         if (complete && channel.isActive()) {
-            closeOnFailure(() -> prepared = handler.prepare(inbound));
+            closeOnFailure(this::prepare);
         }
         return prepared.map(RequestHandler.Prepared::terms);
     }
 
+    private void prepare() {
+        try {
+            prepared = handler.prepare(inbound);
+        } catch (RuntimeException e) {
+            inbound.body().release();
+            throw e;
+        }
+    }
+
     @Override
     public void handle() {
         ifOpen(() -> {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestIntake.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestIntake.java
@@ -106,8 +106,19 @@
             sort(loop, unsorted.pollFirst(), begun);
         }
         sorted.takeRefused(begun, delay).forEach(arrival -> loop.execute(arrival::refuseAsLate));
-        while (!sorted.isEmpty() && System.nanoTime() - begun < SLICE_NANOS) {
+        long sliceBegan = System.nanoTime();
+        do {
             sorted.takeNext(System.nanoTime(), delay).ifPresent(Arrival::handle);
+        } while (!sorted.isEmpty() && System.nanoTime() - sliceBegan < SLICE_NANOS);
+    }
+
+    /** Has all requests that wait handled now, on a host that refuses new ones. */
+    public void handleAll(EventLoop loop) {
+        while (!sorted.isEmpty()) {
+            sorted.takeNext(System.nanoTime(), 0).ifPresent(arrival -> loop.execute(arrival::handle));
+        }
+        while (!unsorted.isEmpty()) {
+            loop.execute(unsorted.pollFirst()::handle);
         }
     }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -46,7 +46,7 @@
     private static final int MAX_PENDING_BYTES = 64 << 10;
 
     private final HttpServer server;
-    private final Deque<HttpObject> pending = new ArrayDeque<>();
+    private final Deque<Queued> pending = new ArrayDeque<>();
     private final long openedInPass;
     private final long waitingSince;
     private int pendingBytes;
@@ -90,10 +90,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         lastActivity = System.nanoTime();
         if (isAnswering()) {
-            if (pending.isEmpty()) {
-                pendingSince = server.intake().readableSince();
-            }
-            pending.addLast((HttpObject) message);
+            pending.addLast(new Queued((HttpObject) message, readableSince()));
             pendingBytes += bytes(message);
             if (pending.size() >= MAX_PENDING || pendingBytes >= MAX_PENDING_BYTES) {
                 ctx.channel().config().setAutoRead(false);
@@ -226,8 +223,8 @@
     }
 
     /**
-     * Returns since when the request may have been waiting. The first bytes on a connection may have come while it waited to
-     * be accepted, and those that were queued behind another request with the first of them.
+     * Returns since when the message that is being read may have been waiting. The first bytes on a connection may have come
+     * while it waited to be accepted.
      */
     private long readableSince() {
         if (readingPending) {
@@ -268,12 +265,16 @@
 
     private void readPending() {
         readingPending = true;
-        while (!isAnswering() && !pending.isEmpty()) {
-            HttpObject message = pending.pollFirst();
-            pendingBytes -= bytes(message);
-            read(message);
+        try {
+            while (!isAnswering() && !pending.isEmpty()) {
+                Queued next = pending.pollFirst();
+                pendingSince = next.since();
+                pendingBytes -= bytes(next.message());
+                read(next.message());
+            }
+        } finally {
+            readingPending = false;
         }
-        readingPending = false;
         if (pending.isEmpty() && !context.channel().config().isAutoRead()) {
             context.channel().config().setAutoRead(true);
         }
@@ -331,7 +332,7 @@
         server.onClosed(this);
         server.recordUnsent(this, 0);
         releaseBody();
-        pending.forEach(ReferenceCountUtil::release);
+        pending.forEach(queued -> ReferenceCountUtil.release(queued.message()));
         pending.clear();
         ChannelResponder responder = activeResponder;
         activeResponder = null;
@@ -353,6 +354,9 @@
         ctx.close();
     }
 
+    /** A message behind a request that is being answered, and since when it may have been waiting. */
+    private record Queued(HttpObject message, long since) {}
+
     /** Writes the response to one request. */
     private final class ChannelResponder implements Responder {
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/state/ChangeExchange.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/state/ChangeExchange.java
@@ -113,6 +113,11 @@
             return era == null || number == null ? Optional.empty() : Optional.of(new StoreRevision(era, number));
         }
 
+        @Override
+        public Optional<Prepared> prepare(InboundRequest request) {
+            return request.head().headers().contains(CHANGES_AFTER) ? Optional.empty() : next.prepare(request);
+        }
+
         @Override
         public void refuseForMemory(InboundRequest request) {
             next.refuseForMemory(request);
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/overload/AcceptClock.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/overload/AcceptClock.java
@@ -56,6 +56,12 @@
         return waitingSince;
     }
 
+    /** Records that the queue was empty after the connections recorded so far. */
+    public void queueWasEmpty() {
+        mayHoldMore = false;
+        passOpen = false;
+    }
+
     /** Records that the present pass takes no more connections. */
     public void endPass() {
         mayHoldMore = passOpen && acceptedInPass >= perPass;
