Take offers between regions out again, and mend the queue after its review

Kept: a refusal says that there is no endpoint only if none is usable.

The review's findings on the queue, each mended: a request that began to wait again while it was being sent could be sent twice (Entry.left); a request was tried after its deadline; each try counted as a trial of a quarantined prompt, and as a refusal that makes Retry-After longer; requests without a prompt cost their account nothing; an exception ended the timer of the queue.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Call.java
@@ -116,6 +116,10 @@
 
     @Override
     public Optional<PlaceEstimate> sendIfRoom() {
+        if (finished || timeLeft().isZero()) {
+            deadlinePassed();
+            return Optional.empty();
+        }
         try {
             chooseAndSend(context.router()::chooseAgain);
             return Optional.empty();
@@ -129,8 +133,9 @@
 
     private void chooseAndSend(Router.Choice choice) throws CallRefusedException {
         context.drainCheck().check(admitted, responseStarted || attempts.isActive());
-        context.quarantineCheck().check(crashSuspects.ids());
+        context.quarantineCheck().checkHeld(crashSuspects.ids());
         Destination destination = choice.choose(admitted, triedUpstreams);
+        context.quarantineCheck().check(crashSuspects.ids());
         estimateMillis = destination.estimateMillis();
         context.metrics().recordExpectedQueueTime(admitted.service(), destination.waitMillis());
         if (attempts.size() > 0) {
@@ -340,7 +345,7 @@
         mayHaveRun |= !notRun;
         hostMayHaveRun |= !notRun && upstream.isHost();
         if (notRun && upstream.isHost()) {
-            context.router().recordRefusal(upstream, admitted.service());
+            context.router().recordRefusal(upstream.name(), admitted.service());
         }
         boolean retry = !othersInProgress && shouldRetry(kind);
         refusals += notRun ? 1 : 0;
@@ -477,12 +482,8 @@
         attempts.close();
         callLog.recordEnd(
                 outcome,
-                "status",
                 status,
-                "attempts",
-                attempts.size(),
-                "upstream",
-                attempts.upstreamName(),
+                attempts,
                 "estimate_ms",
                 estimateMillis,
                 "first_ms",
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallLog.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallLog.java
@@ -35,9 +35,10 @@
     /**
      * Records the end of the request.
      *
+     * @param status HTTP status of the response, or 0 if it is incomplete
      * @param fields alternating names and values of what was measured
      */
-    void recordEnd(String outcome, Object... fields) {
+    void recordEnd(String outcome, int status, AttemptGroup attempts, Object... fields) {
         Object[] identity = {
             "request",
             call.head().id(),
@@ -48,7 +49,13 @@
             "from",
             call.forwardedBy().orElse(""),
             "version",
-            call.configurationVersion()
+            call.configurationVersion(),
+            "status",
+            status,
+            "attempts",
+            attempts.size(),
+            "upstream",
+            attempts.upstreamName()
         };
         log.decision("request_" + outcome, ObjectArrays.concat(identity, fields, Object.class));
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -67,7 +67,6 @@
                 location.region(),
                 state.responsive(),
                 RandomGenerator.of("L64X128MixRandom"));
-        router.registerMetrics(metrics);
         SegmentQuarantine quarantine = state.quarantine();
         GracePeriod gracePeriod = new GracePeriod();
         CallContext context = new CallContext(
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/HostUpstream.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import org.toucanlane.domain.outcome.ErrorKind;
 import org.toucanlane.edge.fleet.HostHandle;
 import org.toucanlane.edge.fleet.Reservation;
 import org.toucanlane.edge.http.ExchangeListener;
@@ -14,8 +13,6 @@
 final class HostUpstream implements Upstream {
 
     private final HostHandle host;
-    private Optional<HopHeaders.HopRefusal> refusal = Optional.empty();
-    private Optional<Duration> retryAfter = Optional.empty();
 
     HostUpstream(HostHandle host) {
         this.host = host;
@@ -28,8 +25,7 @@
 
     @Override
     public Optional<HopHeaders.HopRefusal> readRefusal(HttpResponse response) {
-        refusal = HopHeaders.readRefusal(response);
-        return refusal;
+        return HopHeaders.readRefusal(response);
     }
 
     @Override
@@ -74,16 +70,7 @@
 
     @Override
     public void pause(Duration time) {
-        // The time of a refusal; the other host pauses its own endpoint.
-        retryAfter = Optional.of(time);
-    }
-
-    /**
-     * Returns the time after which the host's region takes such a request, if it has refused this one for want of room and
-     * named a time.
-     */
-    Optional<Duration> retryAfter() {
-        return refusal.filter(known -> known.kind() == ErrorKind.OVERLOADED).flatMap(known -> retryAfter);
+        // The other host pauses its endpoint.
     }
 
     @Override
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/QuarantineCheck.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/QuarantineCheck.java
@@ -39,6 +39,18 @@
         }
     }
 
+    /**
+     * Checks a request for which no destination has been chosen yet. As opposed to {@link #check}, this isn't a trial of a
+     * suspected prompt.
+     *
+     * @throws CallRefusedException as {@link #check}
+     */
+    void checkHeld(List<String> suspects) throws CallRefusedException {
+        if (isHeld(suspects)) {
+            check(suspects);
+        }
+    }
+
     /** Returns whether {@link #check} would refuse the request now. */
     boolean isHeld(List<String> suspects) {
         return quarantine.isHeld(suspects, System.nanoTime());
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/Router.java
@@ -8,12 +8,10 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
-import java.util.stream.Stream;
 import org.toucanlane.domain.outcome.ErrorKind;
 import org.toucanlane.edge.fleet.EndpointHandle;
 import org.toucanlane.edge.fleet.Fleet;
 import org.toucanlane.edge.fleet.HostHandle;
-import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.policy.admission.AdmissionLimit;
 import org.toucanlane.policy.admission.LoadShedder;
 import org.toucanlane.policy.placement.EndpointPlacer;
@@ -33,7 +31,7 @@
     /** Retry delay if no endpoint is available; time for one to recover or for another to register. */
     private static final Duration NO_ENDPOINT_RETRY_AFTER = Duration.ofMillis(500);
 
-    /** Retry delay for an endpoint that is cold. */
+    /** Retry delay if all endpoints are cold. */
     private static final Duration COLD_RETRY_AFTER = Duration.ofMillis(400);
 
     private final Fleet fleet;
@@ -57,7 +55,7 @@
         this.random = random;
         this.candidateFinder = new CandidateFinder(fleet);
         this.rates = new EndpointRates(fleet, hostName, region);
-        this.remoteRegions = new RemoteRegions(fleet, hostName, region, candidateFinder, responsive, random);
+        this.remoteRegions = new RemoteRegions(fleet, region, candidateFinder, responsive, random);
     }
 
     /**
@@ -68,12 +66,12 @@
      * @throws CallRefusedException if no destination can take the request now for another reason
      */
     Destination choose(AdmittedCall call, Set<String> tried) throws CallRefusedException {
-        return choose(call, tried, call.forwardedBy().isEmpty() && tried.isEmpty());
+        return choose(call, tried, true);
     }
 
     /**
-     * Chooses the destination of a request that has been waiting for one. It has been counted as demand
-     * already.
+     * Chooses the destination of a request that has been waiting for one. If there is none yet, that isn't counted as a
+     * refusal.
      *
      * @throws CallRefusedException as {@link #choose(AdmittedCall, Set)}
      */
@@ -81,24 +79,17 @@
         return choose(call, tried, false);
     }
 
-    private Destination choose(AdmittedCall call, Set<String> tried, boolean isNew) throws CallRefusedException {
+    private Destination choose(AdmittedCall call, Set<String> tried, boolean countsRefusal)
+            throws CallRefusedException {
         long now = System.nanoTime();
         Optional<Destination> destination = findBest(call, tried, now);
         if (destination.isEmpty()) {
-            throw noDestination(call, tried, now);
+            throw noDestination(call, now);
         }
-        if (isNew) {
-            fleet.offers()
-                    .recordArrival(call.service(), destination.get().placement().newTokens(), now);
-        }
-        refuseIfOverloaded(call, destination.get());
+        refuseIfOverloaded(call, destination.get(), countsRefusal);
         if (call.forwardedBy().isEmpty() && tried.isEmpty()) {
             candidateFinder.recordDemand(call, destination.get().placement(), now);
         }
-        if (destination.get() instanceof Destination.Remote remote) {
-            remoteRegions.recordHop(
-                    remote.host(), call.service(), remote.placement().newTokens(), now);
-        }
         return destination.get();
     }
 
@@ -118,7 +109,7 @@
         Optional<Placement> choice = place(call, candidates);
         boolean fastEnough = choice.isPresent() && choice.get().costMillis() <= RemoteRegions.DISTANCE_MILLIS;
         if (call.forwardedBy().isEmpty() && !fastEnough) {
-            candidates.addAll(remoteRegions.candidates(call, choice, tried, now));
+            candidates.addAll(remoteRegions.candidates(call, tried, now));
             choice = place(call, candidates);
         }
         return choice.flatMap(placement -> destination(placement, tried));
@@ -145,10 +136,13 @@
         });
     }
 
-    private void refuseIfOverloaded(AdmittedCall call, Destination best) throws CallRefusedException {
+    private void refuseIfOverloaded(AdmittedCall call, Destination best, boolean countsRefusal)
+            throws CallRefusedException {
         Optional<Duration> wait = overloadWait(call, best);
         if (wait.isPresent()) {
-            overloadTracker.recordRefusal(call.service(), System.nanoTime());
+            if (countsRefusal) {
+                overloadTracker.recordRefusal(call.service(), System.nanoTime());
+            }
             double untilPlace =
                     limitFor(call).excessMillis(best.waitMillis(), best.estimateMillis() - best.waitMillis());
             throw new EndpointsBusyException(
@@ -178,8 +172,7 @@
         return new AdmissionLimit(call.routeBounds().minLatencyObjective(), call.rank());
     }
 
-    /** Returns the refusal of a request that no endpoint can take now, with the reason and the time to come back. */
-    private CallRefusedException noDestination(AdmittedCall call, Set<String> tried, long now) {
+    private CallRefusedException noDestination(AdmittedCall call, long now) {
         List<EndpointHandle> known = fleet.endpointsOf(call.service());
         Optional<Duration> delay = shortestRequestedDelay(call, known, now);
         if (delay.isPresent()) {
@@ -189,47 +182,25 @@
                     "all endpoints of service " + call.service()
                             + " in this region have asked for a pause or for fewer requests");
         }
-        List<EndpointHandle> allowed = known.stream()
-                .filter(endpoint -> call.mayRunIn(fleet.regionOf(endpoint)))
-                .toList();
-        List<EndpointHandle> usable = allowed.stream()
-                .filter(endpoint -> endpoint.isUsable(now)
-                        && !fleet.isEvacuated(endpoint.entry().dataCentre()))
-                .toList();
-        String regions = call.regions().isEmpty() ? "any region" : String.join(", ", call.regions());
-        if (usable.isEmpty()) {
+        boolean anyCold = known.stream()
+                .anyMatch(endpoint -> isLocal(endpoint) && endpoint.isUsable(now) && endpoint.isCold(now));
+        if (anyCold) {
             return new CallRefusedException(
-                    ErrorKind.NO_ENDPOINT,
-                    NO_ENDPOINT_RETRY_AFTER,
-                    String.format(
-                            "no endpoint available: the service has %d, %d of them in allowed regions (%s), 0 of those usable",
-                            known.size(), allowed.size(), regions));
+                    ErrorKind.OVERLOADED, COLD_RETRY_AFTER, "remaining endpoints in this region are still warming up");
         }
-        List<EndpointHandle> local = usable.stream().filter(this::isLocal).toList();
-        List<EndpointHandle> untried = local.stream()
-                .filter(endpoint -> !tried.contains(endpoint.id()))
+        List<EndpointHandle> allowed = known.stream()
+                .filter(endpoint -> call.mayRunIn(fleet.regionOf(endpoint)))
                 .toList();
-        Duration retryAfter = Stream.concat(
-                        untried.stream().map(endpoint -> rateDelay(endpoint, now)),
-                        local.size() == usable.size() ? Stream.empty() : remoteRegions.retryAfter(call, now).stream())
-                .min(Comparator.naturalOrder())
-                .orElse(NO_ENDPOINT_RETRY_AFTER);
+        long usable =
+                allowed.stream().filter(endpoint -> endpoint.isUsable(now)).count();
+        String detail = String.format(
+                "no endpoint takes the request now: the service has %d, %d of them in allowed regions (%s), %d of those usable",
+                known.size(),
+                allowed.size(),
+                call.regions().isEmpty() ? "any region" : String.join(", ", call.regions()),
+                usable);
         return new CallRefusedException(
-                ErrorKind.OVERLOADED,
-                retryAfter,
-                String.format(
-                        "of %d usable endpoints in allowed regions (%s), %d have been tried, %d are warming up or at their"
-                                + " limit, %d are in other regions, which take no more requests from this one",
-                        usable.size(),
-                        regions,
-                        local.size() - untried.size(),
-                        untried.size(),
-                        usable.size() - local.size()));
-    }
-
-    private Duration rateDelay(EndpointHandle endpoint, long now) {
-        Duration limitDelay = rates.limitDelay(endpoint, now);
-        return limitDelay.isZero() ? COLD_RETRY_AFTER : limitDelay;
+                usable == 0 ? ErrorKind.NO_ENDPOINT : ErrorKind.OVERLOADED, NO_ENDPOINT_RETRY_AFTER, detail);
     }
 
     /**
@@ -281,16 +252,9 @@
         return fleet.endpoint(name);
     }
 
-    /** Records that {@code upstream}, if it is a host in another region, has refused a request for {@code service}. */
-    void recordRefusal(Upstream upstream, String service) {
-        if (upstream instanceof HostUpstream host) {
-            remoteRegions.recordRefusal(host.name(), service, host.retryAfter(), System.nanoTime());
-        }
-    }
-
-    /** Registers the metrics of offers between regions. */
-    void registerMetrics(CallMetrics metrics) {
-        remoteRegions.registerMetrics(metrics);
+    /** Records that a host in another region has refused a request for {@code service}. */
+    void recordRefusal(String host, String service) {
+        remoteRegions.recordRefusal(host, service, System.nanoTime());
     }
 
     /**
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/WaitingCalls.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/WaitingCalls.java
@@ -138,7 +138,7 @@
                 arrival,
                 call.route().latencyObjective(),
                 call.deadlineNanos(),
-                call.head().prompt().map(Prompt::chargedTokens).orElse(0L),
+                Math.max(1, call.head().prompt().map(Prompt::chargedTokens).orElse(0L)),
                 call.accountName(),
                 call.account().map(weightOf::applyAsDouble).orElse(0.0));
     }
@@ -152,19 +152,21 @@
     private void startTimer() {
         if (!timerRunning) {
             timerRunning = true;
-            loop.schedule(this::onTimer, TRY_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    log.logFailures("waiting requests", this::onTimer), TRY_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
     private void onTimer() {
         timerRunning = false;
+        if (entries.isEmpty()) {
+            return;
+        }
+        startTimer();
         for (ServiceQueue service : List.copyOf(queues.values())) {
             refuseExpired(service);
             sendWaiting(service);
         }
-        if (!entries.isEmpty()) {
-            startTimer();
-        }
     }
 
     private void refuseExpired(ServiceQueue service) {
@@ -202,8 +204,10 @@
     }
 
     private void leave(Entry entry, String reason, CallRefusedException refusal) {
-        remove(entry.waiter, reason);
-        entry.waiter.onRefused(refusal);
+        if (!entry.left) {
+            leaveQueue(entry, reason, entry.service.queue::remove);
+            entry.waiter.onRefused(refusal);
+        }
     }
 
     private void remove(Waiter waiter, String reason) {
@@ -214,9 +218,12 @@
     }
 
     private void leaveQueue(Entry entry, String reason, Consumer<WaitingQueue.Ticket<Entry>> removal) {
-        if (entries.remove(entry.waiter) == null) {
+        if (entry.left) {
             return;
         }
+        entry.left = true;
+        // The request may wait again already, with another entry.
+        entries.remove(entry.waiter, entry);
         removal.accept(entry.ticket);
         metrics.recordWaited(entry.call.service(), reason, entry.waitedMillis());
         log.decision(
@@ -262,6 +269,7 @@
         private final ServiceQueue service;
         private final long since = System.nanoTime();
         private WaitingQueue.Ticket<Entry> ticket;
+        private boolean left;
 
         private Entry(Waiter waiter, AdmittedCall call, ServiceQueue service) {
             this.waiter = waiter;
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Fleet.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/fleet/Fleet.java
@@ -84,7 +84,6 @@
     private final Set<String> evacuatedDataCentres = new HashSet<>();
     private final Set<String> expiredEntries = new HashSet<>();
     private final List<Consumer<ServingConfiguration>> configurationListeners = new ArrayList<>();
-    private final RegionOffers offers = new RegionOffers();
     private long storeRecoveredAt;
     private boolean hadStoreOutage;
     private boolean restored;
@@ -118,11 +117,6 @@
         return responseFaults;
     }
 
-    /** Returns the offers of spare room between regions. */
-    public RegionOffers offers() {
-        return offers;
-    }
-
     /** Returns the active configuration, or empty before the first one has been received. Thread-safe. */
     public Optional<ServingConfiguration> configuration() {
         return configuration.get().map(Versioned::value);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
@@ -50,8 +50,7 @@
  * with the aggregates received from other regions, to the other hosts of its region, and sends its region's aggregate
  * to the relays of other regions. The traffic of a host is therefore independent of the number of hosts, except at
  * relays, where it grows with the size of their region. While there is evidence of crashes, it takes the same routes in
- * datagrams of its own, and so do offers between regions; hosts of an earlier version reject them without effect on
- * load reports. Not thread-safe:
+ * datagrams of its own, which hosts of an earlier version reject without effect on load reports. Not thread-safe:
  * confined to the host's event loop.
  */
 public final class Gossip implements AccountLimiter.ShareSource {
@@ -92,7 +91,6 @@
     private final ReceivedReports received;
     private final SegmentAnnouncements segmentAnnouncements = new SegmentAnnouncements();
     private final CrashExchange crashes;
-    private final OfferExchange offers;
     private final Map<Integer, Integer> idleRounds = new HashMap<>();
     private final Set<String> silentHosts = new HashSet<>();
     private final Map<String, AccountShare> sharesByAccount = new HashMap<>();
@@ -123,7 +121,6 @@
         this.ownStalls = ownStalls;
         this.received = new ReceivedReports(fleet, self.region(), self.name(), sent);
         this.crashes = new CrashExchange(fleet, log, self, quarantine);
-        this.offers = new OfferExchange(fleet, log, self);
         this.routes = new ReportRoutes(self, Map.of(), List.of());
     }
 
@@ -168,7 +165,6 @@
         rounds++;
         long expired = now - ReceivedReports.MAX_REPORT_AGE.toNanos();
         received.removeExpired(now, ownStalls.nanosSinceWithUnread(expired, now));
-        offers.removeExpired(now);
         updateSilentHosts(now);
         chooseRelays();
         Map<String, AccountUsage> ownUsage = limiter.usage();
@@ -177,7 +173,6 @@
             sendAggregatedReport(ownUsage, now);
         }
         sendCrashReports(now);
-        sendOffers(now);
         segmentAnnouncements.nextRound();
         idleRounds.keySet().removeIf(tag -> fleet.endpointByTag(tag).isEmpty());
     }
@@ -395,27 +390,6 @@
         }
     }
 
-    /** Sends the demand of this host, and as an aggregator the offers of regions, in turn with the other relay. */
-    private void sendOffers(long now) {
-        if (rounds % REMOTE_REGION_ROUNDS == 0) {
-            sendAll(offers.demandDatagrams(now), routes.ownRelays());
-        }
-        if (routes.isAggregator()
-                && rounds % (routes.turns() * REMOTE_REGION_ROUNDS) == (long) routes.turn() * REMOTE_REGION_ROUNDS) {
-            List<byte[]> own = offers.ownOffers(now);
-            sendAll(own, routes.ownRelays());
-            sendAll(own, routes.remoteRelays());
-            sendAll(offers.allOffers(now), routes.members());
-        }
-    }
-
-    private void sendAll(List<byte[]> datagrams, List<HostRecord> receivers) {
-        if (!datagrams.isEmpty() && !receivers.isEmpty()) {
-            receivers.forEach(host -> datagrams.forEach(bytes -> write(bytes, host)));
-            channel.flush();
-        }
-    }
-
     private void write(byte[] bytes, HostRecord host) {
         channel.write(new DatagramPacket(
                 Unpooled.wrappedBuffer(bytes), new InetSocketAddress(host.address(), host.gossipPort())));
@@ -517,8 +491,6 @@
             try {
                 if (CrashReport.isCrashReport(bytes)) {
                     crashes.receive(CrashReport.decode(bytes), System.nanoTime());
-                } else if (OfferReport.isOfferReport(bytes)) {
-                    offers.receive(OfferReport.decode(bytes), System.nanoTime());
                 } else {
                     receive(FleetReport.decode(bytes));
                 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/telemetry/CallMetrics.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/telemetry/CallMetrics.java
@@ -4,20 +4,15 @@
 import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
-import io.micrometer.core.instrument.MultiGauge;
-import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 import org.toucanlane.domain.outcome.ErrorKind;
 
 /**
@@ -69,7 +64,6 @@
     private final Map<ErrorKind, Counter> refusalsByKind = new EnumMap<>(ErrorKind.class);
     private final Map<String, Supplier<Number>> waitingByService = new HashMap<>();
     private final Map<String, Counter> retriesByService = new HashMap<>();
-    private final List<Runnable> tableUpdates = new ArrayList<>();
 
     /** Records the time until a response began. */
     public void recordTimeToFirstByte(String route, String account, double millis) {
@@ -166,21 +160,6 @@
         Gauge.builder(name, value).description(description).register(registry);
     }
 
-    /**
-     * Registers a gauge with several series, whose values are read at each scrape.
-     *
-     * @param maxRows maximum number of series; others are left out
-     */
-    public void registerTable(String name, String description, int maxRows, Supplier<Map<Tags, Number>> rows) {
-        MultiGauge gauge = MultiGauge.builder(name).description(description).register(registry);
-        tableUpdates.add(() -> gauge.register(
-                rows.get().entrySet().stream()
-                        .limit(maxRows)
-                        .map(row -> MultiGauge.Row.of(row.getKey(), row.getValue()))
-                        .collect(Collectors.toList()),
-                true));
-    }
-
     /** Registers a counter whose value is read at each scrape. */
     public void registerCounter(String name, String tag, String tagValue, Supplier<Number> value) {
         // The registry holds its second argument weakly.
@@ -191,7 +170,6 @@
 
     /** Returns all metrics in the Prometheus text format. */
     public String scrape() {
-        tableUpdates.forEach(Runnable::run);
         return registry.scrape();
     }
 
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/EndpointLoad.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/placement/EndpointLoad.java
@@ -42,25 +42,4 @@
     public boolean isEngine() {
         return kvCapacityTokens > 0;
     }
-
-    /**
-     * Returns this load with further requests in flight.
-     *
-     * @param requests number of further requests
-     * @param promptTokens prompt tokens that they add to those to prefill, in total
-     */
-    public EndpointLoad plus(int requests, long promptTokens) {
-        return new EndpointLoad(
-                endpoint,
-                endpointHash,
-                slots,
-                running + requests,
-                pendingPromptTokens + promptTokens,
-                usedKvTokens + promptTokens,
-                kvCapacityTokens,
-                slowdownFactor,
-                failureRate,
-                meanServiceMillis,
-                profile);
-    }
 }
