Record on which thread the failure of a connection is reported

ChannelPoolTest.reportsAConnectionWhoseSocketCannotBeCreated failed once beside other load: it registered its callback on the test's thread after the request may have failed already, and then saw the test's own thread. Now the listener itself records the thread when it is called, which is as strict, and leaves nothing to chance.

--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/http/ChannelPoolTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/http/ChannelPoolTest.java
@@ -1,7 +1,6 @@
 package org.toucanlane.edge.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -13,6 +12,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -21,7 +21,6 @@
 import java.nio.channels.spi.SelectorProvider;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -116,20 +115,49 @@
         for (int i = 0; i < 3; i++) {
             ByteBuf body = Unpooled.buffer().writeZero(8);
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/", body);
-            CompletableFuture<Boolean> reportedOnLoop = new CompletableFuture<>();
-            CompletableFuture<BufferedExchange.Response> result = CompletableFuture.supplyAsync(
-                            () -> BufferedExchange.send(pool, loop, request, TIMEOUT.multipliedBy(2), 0), loop)
-                    .thenCompose(response -> response);
-            result.whenComplete((response, failure) -> reportedOnLoop.complete(loop.inEventLoop()));
-            assertThatThrownBy(() -> result.get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS))
-                    .isInstanceOf(ExecutionException.class)
+            FailureRecorder failure = new FailureRecorder(loop);
+            loop.execute(() -> pool.send(request, failure));
+            assertThat(failure.cause.get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS))
                     .hasRootCauseMessage("Too many open files");
-            assertThat(reportedOnLoop.get()).isTrue();
+            assertThat(failure.reportedOnLoop).isTrue();
             assertThat(body.refCnt()).isZero();
         }
         assertThat(openIfNone(pool)).isFalse();
     }
 
+    /** Records how the failure of a request is reported. */
+    private static final class FailureRecorder implements ExchangeListener {
+
+        private final CompletableFuture<Throwable> cause = new CompletableFuture<>();
+        private final EventLoop loop;
+        private volatile boolean reportedOnLoop;
+
+        private FailureRecorder(EventLoop loop) {
+            this.loop = loop;
+        }
+
+        @Override
+        public void onStarted(ClientCall call) {
+            // Ignored.
+        }
+
+        @Override
+        public ResponseMatch onHead(HttpResponse response) {
+            return ResponseMatch.OTHER;
+        }
+
+        @Override
+        public void onData(ByteBuf content, boolean last) {
+            content.release();
+        }
+
+        @Override
+        public void onFailed(Stage stage, Throwable failure) {
+            reportedOnLoop = loop.inEventLoop();
+            cause.complete(failure);
+        }
+    }
+
     /** A channel that fails as one does whose socket can't be created. */
     private static final class UnopenableChannel extends NioSocketChannel {
 
