Check a configuration for entries without effect before it is sent

Operators asked for one small tool. `toucanlane check` reads files as validate does, and names with file, line and hint: routes that no endpoint may serve, two routes that match the same requests, accounts that can never use a route that lists them, bursts below what accrues in a second, and shares that no host holds. Exit codes: 3 errors, 7 findings, 6 differences. ConfigurationReviewTest, MainTest.

--- a/toucanlane-cli/src/main/java/org/toucanlane/cli/ExitCode.java
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/ExitCode.java
@@ -15,7 +15,9 @@
     /** Not every host confirmed the published version before the timeout. */
     UNCONFIRMED(5, "published, but not every host confirmed before the timeout"),
     /** Files differ from the configuration in force. */
-    DIFFERENT(6, "diff: the files differ from the configuration in force");
+    DIFFERENT(6, "diff and check: the files differ from the configuration in force"),
+    /** Entries of the files can never match, or limits contradict each other. */
+    FINDINGS(7, "check: entries can never match, or limits contradict each other");
 
     private final int code;
     private final String meaning;
--- a/toucanlane-cli/src/main/java/org/toucanlane/cli/GlobalOptions.java
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/GlobalOptions.java
@@ -45,8 +45,12 @@
         return json;
     }
 
+    boolean hasStore() {
+        return store != null && !store.isBlank();
+    }
+
     HttpKeyValueStore openStore() throws CommandFailedException {
-        if (store == null || store.isBlank()) {
+        if (!hasStore()) {
             throw new CommandFailedException(
                     ExitCode.USAGE, "no store address: pass --store URL or set TOUCANLANE_STORE");
         }
--- a/toucanlane-cli/src/main/java/org/toucanlane/cli/Main.java
+++ b/toucanlane-cli/src/main/java/org/toucanlane/cli/Main.java
@@ -23,6 +23,7 @@
     private static Map<String, Supplier<Command>> commands() {
         Map<String, Supplier<Command>> commands = new LinkedHashMap<>();
         commands.put("validate", ValidateCommand::new);
+        commands.put("check", CheckCommand::new);
         commands.put("diff", DiffCommand::new);
         commands.put("publish", PublishCommand::new);
         commands.put("status", StatusCommand::new);
--- a/toucanlane-cli/src/test/java/org/toucanlane/cli/MainTest.java
+++ b/toucanlane-cli/src/test/java/org/toucanlane/cli/MainTest.java
@@ -54,6 +54,18 @@
         assertThat(output()).contains("1 accounts");
     }
 
+    @Test
+    void checkNamesEntriesWithoutEffect() throws Exception {
+        assertThat(run("check", folder.toString())).isEqualTo(ExitCode.DONE);
+        Files.writeString(folder.resolve("toucanlane.json"), FILE.replace("100", "5"));
+        assertThat(run("check", folder.toString())).isEqualTo(ExitCode.FINDINGS);
+        assertThat(output()).contains("toucanlane.json:4", "accrues 10 tokens a second", "1 findings, not compared");
+        Files.writeString(folder.resolve("toucanlane.json"), FILE.replace("accounts", "acounts"));
+        assertThat(run("check", folder.toString())).isEqualTo(ExitCode.INVALID);
+        assertThat(run("--store", "http://127.0.0.1:1", "check", folder.toString()))
+                .isNotEqualTo(ExitCode.DONE);
+    }
+
     @Test
     void reportsFileAndLineOfAnInvalidFile() throws Exception {
         Files.writeString(folder.resolve("toucanlane.json"), FILE.replace("accounts", "acounts"));
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostDirectory.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostDirectory.java
@@ -23,13 +23,13 @@
 
     private final Fleet fleet;
     private final HostRecord self;
-    private final Predicate<HostHandle> responsive;
+    private final Predicate<HostHandle> presumedAlive;
     private boolean draining;
 
-    HostDirectory(Fleet fleet, HostRecord self, Predicate<HostHandle> there) {
+    HostDirectory(Fleet fleet, HostRecord self, Predicate<HostHandle> presumedAlive) {
         this.fleet = fleet;
         this.self = self;
-        this.responsive = there;
+        this.presumedAlive = presumedAlive;
     }
 
     /** Excludes this host from all further results. */
@@ -82,6 +82,6 @@
      * region only: missing reports from another region may be due to a network partition between the regions.
      */
     private boolean isUnresponsive(HostHandle host) {
-        return host.entry().region().equals(self.region()) && host.hasEverReported() && !responsive.test(host);
+        return host.entry().region().equals(self.region()) && host.hasEverReported() && !presumedAlive.test(host);
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestHandler.java
@@ -16,8 +16,8 @@
     void handle(InboundRequest request);
 
     /**
-     * Reads what decides when {@code request} is handled while the event loop is late. The handler has taken the request over if
-     * the result isn't empty.
+     * Reads what decides when {@code request} is handled while the event loop is late. If the result isn't empty, one of its
+     * methods is called instead of {@link #handle}, unless the caller has left before.
      *
      * @return empty if the request is to be passed to {@link #handle} without delay
      */
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestIntake.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestIntake.java
@@ -63,7 +63,10 @@
         return clock.map(LoopClock::readableSince).orElseGet(System::nanoTime);
     }
 
-    /** Returns whether the input of the present pass may have come before the loop last looked for input. */
+    /**
+     * Returns whether the present pass is the one after {@code earlierPass}, and found its input without having to wait for it.
+     * Input of such a pass may have come in the earlier one.
+     */
     boolean isNextPassWithoutIdling(long earlierPass) {
         return clock.isPresent()
                 && clock.get().pass() == earlierPass + 1
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/WaitingQueue.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/WaitingQueue.java
@@ -240,7 +240,10 @@
         private final long objectiveNanos;
         private long heldUntilNanos;
         private Position position;
+
+        /** Whether {@code heldUntilNanos} has been moved to the time of the retry, which happens once. */
         private boolean extended;
+
         private long placeNanos;
         private long untilResponseNanos;
         private Duration retryAfter = Duration.ZERO;
