Bound the memory of heads, whose crowd ended a process

Callers: 240 connections with heads of 3,000 short fields that don't end, legal in size, ended a host with a heap of 76 MB (CrowdOfHeadsTest, known red until now).

Cause: a field of five bytes takes some 200 in the heap; only the bytes of one head are limited, and nothing limits all heads together.

Heads of fewer than 64 fields aren't recorded, so ordinary requests cost a counter.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/Gossip.java
@@ -15,7 +15,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -72,12 +71,6 @@
      */
     private static final int IDLE_ROUNDS = 10;
 
-    /** Maximum size of the regions in one datagram, so that it fits into an Ethernet frame. */
-    private static final int MAX_DATAGRAM_BYTES = 1_300;
-
-    /** Maximum number of endpoints in one part of a report; a part is never split further. */
-    private static final int MAX_ENDPOINTS_PER_PART = 40;
-
     /** Interval, in rounds, of reports to and about other regions; these matter less and use expensive links. */
     private static final int REMOTE_REGION_ROUNDS = 2;
 
@@ -226,7 +219,7 @@
                     endpoints,
                     usage,
                     segmentAnnouncements.pending(this::isInOwnRegion));
-            packDatagrams(split(fullReport)).forEach(regions -> send(regions, false, receivers));
+            ReportPacking.pack(ReportPacking.split(fullReport)).forEach(regions -> send(regions, false, receivers));
         }
     }
 
@@ -250,7 +243,7 @@
                 endpointUsage(endpoint -> endpoint.totalUsage(now), true),
                 topByDemand(usage),
                 segmentAnnouncements.pending(this::isInOwnRegion));
-        List<RegionReport> own = split(fullReport);
+        List<RegionReport> own = ReportPacking.split(fullReport);
         List<HostRecord> members = routes.members();
         if (!members.isEmpty() && rounds % turns == turn) {
             boolean withRemoteRegions = rounds / turns % REMOTE_REGION_ROUNDS == turn % REMOTE_REGION_ROUNDS;
@@ -258,11 +251,11 @@
                     ? Stream.concat(own.stream(), remoteRegionReports(now).stream())
                             .toList()
                     : own;
-            packDatagrams(all).forEach(regions -> send(regions, true, members));
+            ReportPacking.pack(all).forEach(regions -> send(regions, true, members));
         }
         if (rounds % (turns * REMOTE_REGION_ROUNDS) == (long) turn * REMOTE_REGION_ROUNDS) {
             List<HostRecord> remoteRelays = routes.remoteRelays();
-            packDatagrams(own).forEach(regions -> send(regions, true, remoteRelays));
+            ReportPacking.pack(own).forEach(regions -> send(regions, true, remoteRelays));
         }
     }
 
@@ -275,7 +268,7 @@
                             .forEach(endpoint -> endpoint.remoteUsage(source)
                                     .ifPresent(usage -> endpoints.put(endpoint.tag(), usage)));
                     ReceivedReports.RegionView view = entry.getValue();
-                    return split(new RegionReport(
+                    return ReportPacking.split(new RegionReport(
                                     entry.getKey(),
                                     TimeUnit.NANOSECONDS.toMillis(now - view.reportedAt()),
                                     true,
@@ -325,47 +318,6 @@
                 .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
     }
 
-    /** Splits a report into parts that each fit into a datagram. */
-    private static List<RegionReport> split(RegionReport fullReport) {
-        List<RegionReport> parts = new ArrayList<>();
-        List<Map.Entry<Integer, EndpointUsage>> endpoints =
-                List.copyOf(fullReport.endpoints().entrySet());
-        int from = 0;
-        do {
-            Map<Integer, EndpointUsage> batch = endpoints.stream()
-                    .skip(from)
-                    .limit(MAX_ENDPOINTS_PER_PART)
-                    .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
-            boolean first = from == 0;
-            parts.add(new RegionReport(
-                    fullReport.region(),
-                    fullReport.ageMillis(),
-                    first,
-                    first ? fullReport.hosts() : Set.of(),
-                    batch,
-                    first ? fullReport.accountUsage() : Map.of(),
-                    first ? fullReport.cachedSegments() : Map.of()));
-            from += MAX_ENDPOINTS_PER_PART;
-        } while (from < endpoints.size());
-        return parts;
-    }
-
-    /** Encodes {@code parts} and packs them in order into datagrams, without headers. */
-    private static List<List<byte[]>> packDatagrams(List<RegionReport> parts) {
-        List<List<byte[]>> datagrams = new ArrayList<>();
-        int bytes = 0;
-        for (RegionReport part : parts) {
-            byte[] encoded = FleetReport.encode(part);
-            if (datagrams.isEmpty() || bytes + encoded.length > MAX_DATAGRAM_BYTES) {
-                datagrams.add(new ArrayList<>());
-                bytes = 0;
-            }
-            datagrams.get(datagrams.size() - 1).add(encoded);
-            bytes += encoded.length;
-        }
-        return datagrams;
-    }
-
     private void send(List<byte[]> regions, boolean gathered, Collection<HostRecord> receivers) {
         receivers.forEach(host -> {
             FleetReport.Header header = new FleetReport.Header(
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -308,6 +308,10 @@
                 "toucanlane.segments.quarantined",
                 "prompt segments that are kept from endpoints because endpoints crashed on them",
                 () -> quarantine.quarantined(System.nanoTime()).size());
+        registerConnectionMetrics();
+    }
+
+    private void registerConnectionMetrics() {
         metrics.registerCounter(
                 "toucanlane.connections.closed",
                 "reason",
@@ -318,6 +322,11 @@
                 "reason",
                 "unread_responses",
                 () -> servers.stream().mapToLong(HttpServer::unreadClosed).sum());
+        metrics.registerCounter(
+                "toucanlane.connections.closed",
+                "reason",
+                "heads",
+                () -> servers.stream().mapToLong(HttpServer::headsClosed).sum());
         metrics.registerGauge(
                 "toucanlane.connections.busy",
                 "connections of callers and hosts with a request",
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -67,6 +67,7 @@
     private long lastAcceptPass;
     private long bodiesRejected;
     private long unreadClosed;
+    private long headsClosed;
 
     private HttpServer(RequestHandler handler, ServerMemory memory, RequestIntake intake) {
         this.intake = Preconditions.checkNotNull(intake, "intake");
@@ -127,15 +128,13 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel connection) {
+                        ServerChannelHandler handler = new ServerChannelHandler(server, server.waitingSince());
                         HttpDecoderConfig decoderConfig = new HttpDecoderConfig()
                                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                                 .setMaxHeaderSize(server.limits.maxHeaderBytes())
+                                .setHeadersFactory(CountedHeaders.factory(handler::onHeadField))
                                 .setTrailersFactory(DiscardedTrailers.FACTORY);
-                        connection
-                                .pipeline()
-                                .addLast(
-                                        new HttpServerCodec(decoderConfig),
-                                        new ServerChannelHandler(server, server.waitingSince()));
+                        connection.pipeline().addLast(new HttpServerCodec(decoderConfig), handler);
                     }
                 });
         ChannelFuture bindFuture = bootstrap.bind(address).awaitUninterruptibly();
@@ -201,6 +200,11 @@
         return unreadClosed;
     }
 
+    /** Returns the number of connections closed because of the memory that their heads took. */
+    public long headsClosed() {
+        return headsClosed;
+    }
+
     /** Returns the number of connections with a request in progress or a response that has not been sent completely. */
     public long busyConnections() {
         return connections.stream().filter(ServerChannelHandler::isBusy).count();
@@ -244,6 +248,15 @@
         });
     }
 
+    /** Records the memory of a connection's heads, and closes the one with the most while all have too much. */
+    void recordHeads(ServerChannelHandler connection, long bytes) {
+        memory.heads().record(connection, bytes).ifPresent(largest -> {
+            headsClosed++;
+            // Not at once: the connection may be reading this field.
+            channel.eventLoop().execute(largest::close);
+        });
+    }
+
     int maxBodyBytes() {
         return limits.maxBodyBytes();
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -21,8 +21,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -42,6 +40,12 @@
     /** Number of queued messages at which reading is paused: enough for a few pipelined requests. */
     private static final int MAX_PENDING = 64;
 
+    /** Memory that a field of a head takes besides its text. */
+    private static final int FIELD_BYTES = 200;
+
+    /** Number of fields after which the memory of a connection's heads is recorded; an ordinary head has fewer. */
+    private static final int RECORDED_FIELDS = 64;
+
     /** Size of the queued content at which reading is paused. */
     private static final int MAX_PENDING_BYTES = 64 << 10;
 
@@ -58,6 +62,10 @@
     /** Null while no request is being read, and if there is no memory for the body of {@code head}. */
     private ByteBuf body;
 
+    /** Fields of the heads that this connection has read and not answered yet, and those of the request in progress. */
+    private int headFields;
+
+    private int activeFields;
     private long bodyBytes;
     private long bodyBegunAt;
     private ChannelResponder activeResponder;
@@ -115,7 +123,7 @@
                 return;
             }
             if (message.decoderResult().isFailure()) {
-                reject(rejectionReason(message.decoderResult().cause()));
+                reject(ServerRejection.Reason.of(message.decoderResult().cause()));
                 return;
             }
             if (message instanceof HttpRequest request) {
@@ -129,12 +137,6 @@
         }
     }
 
-    private static ServerRejection.Reason rejectionReason(Throwable cause) {
-        return cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException
-                ? ServerRejection.Reason.HEAD_TOO_LONG
-                : ServerRejection.Reason.MALFORMED;
-    }
-
     private void readHead(HttpRequest request) {
         if (HttpUtil.isContentLengthSet(request) && HttpUtil.isTransferEncodingChunked(request)) {
             reject(ServerRejection.Reason.MALFORMED);
@@ -207,6 +209,7 @@
 
     private void dispatch() {
         HttpRequest request = head;
+        activeFields = request.headers().size();
         boolean complete = body != null;
         ByteBuf fullBody = complete ? body : Unpooled.EMPTY_BUFFER;
         head = null;
@@ -253,8 +256,26 @@
         head = null;
     }
 
+    /** Counts a field of a head. Short heads aren't recorded. */
+    void onHeadField() {
+        headFields++;
+        if (headFields % RECORDED_FIELDS == 0) {
+            server.recordHeads(this, (long) headFields * FIELD_BYTES);
+        }
+    }
+
+    private void forgetHead() {
+        int before = headFields;
+        headFields -= activeFields;
+        activeFields = 0;
+        if (before >= RECORDED_FIELDS) {
+            server.recordHeads(this, (long) headFields * FIELD_BYTES);
+        }
+    }
+
     private void onResponseEnded(boolean keepOpen) {
         activeResponder = null;
+        forgetHead();
         lastActivity = System.nanoTime();
         if (!keepOpen) {
             discardingInput = true;
@@ -331,6 +352,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         server.onClosed(this);
         server.recordUnsent(this, 0);
+        server.recordHeads(this, 0);
         releaseBody();
         pending.forEach(queued -> ReferenceCountUtil.release(queued.message()));
         pending.clear();
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerRejection.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerRejection.java
@@ -1,5 +1,8 @@
 package org.toucanlane.edge.http;
 
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+
 /**
  * The response to input that could not be read as a request.
  *
@@ -27,6 +30,13 @@
             this.status = status;
         }
 
+        /** Returns the reason for which the decoder of requests failed with {@code cause}. */
+        static Reason of(Throwable cause) {
+            return cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException
+                    ? HEAD_TOO_LONG
+                    : MALFORMED;
+        }
+
         /** Returns the HTTP status. */
         public int status() {
             return status;
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/admission/UnsentResponses.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/admission/ConnectionQuota.java
@@ -7,40 +7,34 @@
 import java.util.Optional;
 
 /**
- * Bounds the memory that responses take which their callers don't read.
+ * Bounds the memory of one kind that all connections take together.
  *
- * <p>Load pattern: callers that send requests and read nothing, on many connections at once, beside callers that read. When
- * all unsent bytes together exceed the limit, the connection with the most of them is given up. A connection that is alone
- * keeps its response, however long it is.
+ * <p>Load pattern: callers that send requests and read no response, or that send heads without end, on many connections at
+ * once, beside callers that need little. When all together exceed the limit, the connection that takes the most is given up. A
+ * connection that is alone may take more.
  *
  * <p>Invariant: the total is the sum of the recorded sizes. Not thread-safe.
  *
  * @param <T> a connection, compared by identity
  */
-public final class UnsentResponses<T> {
-
-    /** Maximum number of unsent bytes, whatever memory there is. */
-    private static final long MAX_TOTAL_BYTES = 16L << 20;
-
-    /** Part of the memory for unsent bytes. */
-    private static final double FRACTION = 1.0 / 4;
+public final class ConnectionQuota<T> {
 
     private final long maxTotal;
     private final Map<T, Long> sizes = new IdentityHashMap<>();
     private long total;
 
-    private UnsentResponses(long maxTotal) {
+    private ConnectionQuota(long maxTotal) {
         this.maxTotal = maxTotal;
     }
 
-    /** Creates an instance without connections, for a process with {@code memoryBytes} outside its heap. */
-    public static <T> UnsentResponses<T> within(long memoryBytes) {
-        Preconditions.checkArgument(memoryBytes > 0, "memoryBytes must be positive: %s", memoryBytes);
-        return new UnsentResponses<>(Math.min(MAX_TOTAL_BYTES, (long) (memoryBytes * FRACTION)));
+    /** Creates an instance without connections that allows {@code maxTotal} bytes. */
+    public static <T> ConnectionQuota<T> of(long maxTotal) {
+        Preconditions.checkArgument(maxTotal > 0, "maxTotal must be positive: %s", maxTotal);
+        return new ConnectionQuota<>(maxTotal);
     }
 
     /**
-     * Records the number of unsent bytes of {@code connection}; 0 forgets it.
+     * Records the number of bytes that {@code connection} takes; 0 forgets it.
      *
      * @return a connection to give up, which is forgotten, or empty if the limit is kept
      */
@@ -65,7 +59,7 @@
         total -= size == null ? 0 : size;
     }
 
-    /** Returns the number of unsent bytes of all connections together. */
+    /** Returns the number of bytes that all connections take together. */
     public long total() {
         return total;
     }
--- a/toucanlane-policy/src/test/java/org/toucanlane/policy/admission/UnsentResponsesTest.java
+++ b/toucanlane-policy/src/test/java/org/toucanlane/policy/admission/ConnectionQuotaTest.java
@@ -6,15 +6,15 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
-class UnsentResponsesTest {
+class ConnectionQuotaTest {
 
     private static final int MIB = 1 << 20;
 
-    private final UnsentResponses<String> unsent = UnsentResponses.within(32 * MIB);
+    private final ConnectionQuota<String> unsent = ConnectionQuota.of(8 * MIB);
 
     /** Callers that read nothing took all memory of a host. */
     @Test
-    void givesUpTheLargestBeyondAQuarterOfTheMemory() {
+    void givesUpTheLargestBeyondTheLimit() {
         List<String> slow = IntStream.range(0, 10).mapToObj(i -> "slow" + i).toList();
         for (int i = 0; i < 1_000; i++) {
             assertThat(unsent.record(slow.get(i % 10), 128 << 10)).isEmpty();
