Name hosts to callers in proportion to their capacity

Callers: hosts of 0.27 to 1.5 cores got the same number of connections, as the directory named all of them; the callers of the small ones waited.

Change: CallerSpread names a host to a part of the callers, by its capacity over the largest one's and a hash of caller and host; at least four hosts, and all if they differ by less than a factor of two, so that deployments with even hosts are served as before.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/RemoteRegions.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/RemoteRegions.java
@@ -80,13 +80,22 @@
     }
 
     /**
-     * Returns a random host of another region, or empty if none can be reached.
+     * Returns a random host of another region, chosen with a probability in proportion to its capacity, or empty if none
+     * can be reached.
      *
      * @param tried endpoints and hosts that have already failed the request
      */
     Optional<HostHandle> chooseHost(String other, Set<String> tried) {
         List<HostHandle> hosts = reachableHosts(other, tried);
-        return hosts.isEmpty() ? Optional.empty() : Optional.of(hosts.get(random.nextInt(hosts.size())));
+        double total = hosts.stream().mapToDouble(host -> host.entry().weight()).sum();
+        double position = random.nextDouble() * total;
+        for (HostHandle host : hosts) {
+            position -= host.entry().weight();
+            if (position < 0) {
+                return Optional.of(host);
+            }
+        }
+        return hosts.isEmpty() ? Optional.empty() : Optional.of(hosts.get(hosts.size() - 1));
     }
 
     private List<HostHandle> reachableHosts(String other, Set<String> tried) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostDirectory.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostDirectory.java
@@ -3,15 +3,18 @@
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.toucanlane.domain.serving.ServingRoute;
 import org.toucanlane.edge.fleet.Fleet;
 import org.toucanlane.edge.fleet.HostHandle;
 import org.toucanlane.edge.fleet.HostRecord;
+import org.toucanlane.policy.directory.CallerSpread;
 
 /**
  * Selects the hosts that a caller should use: those of the caller's region or, if there are none, those of the regions
- * in which most routes of the requested host name are allowed.
+ * in which most routes of the requested host name are allowed. If the hosts differ in capacity, the smaller ones are named
+ * to fewer callers.
  *
  * <p>A host is listed while its lease is valid, unless it is in this host's region and has stopped reporting. Not
  * thread-safe; confined to the host's event loop.
@@ -40,8 +43,26 @@
     /**
      * Returns the hosts for a caller in {@code region} that resolves {@code hostName}, or an empty list if none is
      * known.
+     *
+     * @param caller IP address of the caller
      */
-    public List<HostRecord> hostsFor(String hostName, String region) {
+    public List<HostRecord> hostsFor(String hostName, String region, String caller) {
+        return spread(candidatesFor(hostName, region), caller);
+    }
+
+    private static List<HostRecord> spread(List<HostRecord> hosts, String caller) {
+        Set<String> selected = Set.copyOf(CallerSpread.select(
+                hosts.stream()
+                        .map(host -> new CallerSpread.Candidate(host.name(), host.weight()))
+                        .toList(),
+                caller));
+        return hosts.stream()
+                .filter(host -> selected.contains(host.name()))
+                .limit(MAX_ADDRESSES)
+                .toList();
+    }
+
+    private List<HostRecord> candidatesFor(String hostName, String region) {
         List<HostRecord> inRegion = select(host -> host.region().equals(region));
         if (!inRegion.isEmpty()) {
             return inRegion;
@@ -72,7 +93,6 @@
         fleet.hosts().stream()
                 .filter(host -> filter.test(host.entry()) && !isUnresponsive(host))
                 .map(HostHandle::entry)
-                .limit(MAX_ADDRESSES - 1L)
                 .forEach(selected::add);
         return selected;
     }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/Responder.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/Responder.java
@@ -30,6 +30,9 @@
     /** Returns whether the write buffer accepts more data. */
     boolean isWritable();
 
+    /** Returns the IP address of the caller. */
+    String callerAddress();
+
     /** Returns whether the caller is still connected. */
     boolean isOpen();
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -258,19 +259,17 @@
 
     /** Counts a field of a head. Short heads aren't recorded. */
     void onHeadField() {
-        headFields++;
-        if (headFields % RECORDED_FIELDS == 0) {
+        if (++headFields % RECORDED_FIELDS == 0) {
             server.recordHeads(this, (long) headFields * FIELD_BYTES);
         }
     }
 
     private void forgetHead() {
-        int before = headFields;
         headFields -= activeFields;
-        activeFields = 0;
-        if (before >= RECORDED_FIELDS) {
+        if (headFields + activeFields >= RECORDED_FIELDS) {
             server.recordHeads(this, (long) headFields * FIELD_BYTES);
         }
+        activeFields = 0;
     }
 
     private void onResponseEnded(boolean keepOpen) {
@@ -475,6 +474,12 @@
             return context.channel().isWritable();
         }
 
+        @Override
+        public String callerAddress() {
+            InetSocketAddress caller = (InetSocketAddress) context.channel().remoteAddress();
+            return caller.getAddress().getHostAddress();
+        }
+
         @Override
         public boolean isOpen() {
             return context.channel().isActive();
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/host/HostDirectoryTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/host/HostDirectoryTest.java
@@ -83,7 +83,9 @@
     }
 
     private List<String> names(String region) {
-        return directory.hostsFor("h", region).stream().map(HostRecord::name).toList();
+        return directory.hostsFor("h", region, "10.0.0.1").stream()
+                .map(HostRecord::name)
+                .toList();
     }
 
     private void add(HostRecord record) {
