Count a request as received when it is read, on a host that isn't late

That is an upper bound of its age, which on a calm host is a fraction of a millisecond more than the caller's own time.

Change: an age of less than 20 ms, below which nothing is refused for its age either, counts as none.

Evidence: EndlessResponseTest, StalledHostTest, HttpServerTest pass.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestIntake.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestIntake.java
@@ -58,6 +58,12 @@
         return unsorted.size() + sorted.size();
     }
 
+    /** Returns when a request counts as received that may have been waiting since {@code since}: just now on a calm host. */
+    long receivedAt(long since) {
+        long now = System.nanoTime();
+        return now - since < MIN_LATE.toNanos() ? now : since;
+    }
+
     /** Returns the time since which the input of the present pass may have been waiting. */
     long readableSince() {
         return clock.map(LoopClock::readableSince).orElseGet(System::nanoTime);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -215,9 +215,9 @@
         ByteBuf fullBody = complete ? body : Unpooled.EMPTY_BUFFER;
         head = null;
         body = null;
-        ChannelResponder responder = new ChannelResponder(HttpUtil.isKeepAlive(request));
-        activeResponder = responder;
-        InboundRequest inbound = new InboundRequest(request, fullBody, responder, readableSince());
+        activeResponder = new ChannelResponder(HttpUtil.isKeepAlive(request));
+        long receivedAt = server.intake().receivedAt(readableSince());
+        InboundRequest inbound = new InboundRequest(request, fullBody, activeResponder, receivedAt);
         // Runs after the read loop, which reads up to the end of what has arrived and so notices a caller that has
         // left.
         server.intake()
