Use isAnswering where a connection is asked whether it is busy

Found on reading the whole change again: ServerChannelHandler.isBusy repeated the condition of isAnswering, which this change had added, and two class comments had lines of 150 characters that the formatter doesn't wrap. No behaviour changes. Build with formatter and linter of the modules up to platform passes; HttpServerTest, RequestIntakeTest, HostDrainTest, WaitingQueueTest, WaitingCallsTest, HostExitTest, StalledHostTest and CrowdOfUnreadAnswersTest pass.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -32,9 +32,9 @@
  * Handles one connection of an {@link HttpServer}: reads complete requests and answers them in order.
  *
  * <p>Invariants: at most one request of the connection is being answered, until its response has been handed over to the
- * system; messages that arrive meanwhile are queued in {@code pending}. A request is not handled if its caller's close has arrived behind it, however long both have waited
- * to be read. A body for which the server's {@link org.toucanlane.policy.admission.BodyBudget} has no memory is read and
- * dropped, and its request refused. Used on one event loop only.
+ * system; messages that arrive meanwhile are queued in {@code pending}. A request is not handled if its caller's close has
+ * arrived behind it. A body for which the server's {@link org.toucanlane.policy.admission.BodyBudget} has no memory is read
+ * and dropped, and its request refused. Used on one event loop only.
  */
 final class ServerChannelHandler extends ChannelInboundHandlerAdapter {
 
@@ -328,7 +328,7 @@
     }
 
     boolean isBusy() {
-        return activeResponder != null || head != null || (lastResponseWrite != null && !lastResponseWrite.isDone());
+        return isAnswering() || head != null;
     }
 
     /**
--- a/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/WaitingQueue.java
+++ b/toucanlane-policy/src/main/java/org/toucanlane/policy/queue/WaitingQueue.java
@@ -24,8 +24,9 @@
  * come, and not past that time. One that turns late while it waits goes behind all that can be on time, with the same
  * bound.
  *
- * <p>Invariants: at most {@code maxWaiting} requests wait; every request leaves exactly once, through
- * {@link #recordSent}, {@link #remove}, {@link #expire} or {@link #clear}. Times are {@link System#nanoTime()} values. Not thread-safe.
+ * <p>Invariants: at most {@code maxWaiting} requests wait; every request leaves exactly once, through {@link
+ * #recordSent}, {@link #remove}, {@link #expire} or {@link #clear}. Times are {@link System#nanoTime()} values. Not
+ * thread-safe.
  *
  * @param <T> what the caller keeps for a waiting request
  */
