Reject responses whose status isn't one

Callers got answers with the statuses 000, 099, 20 and 0200 (and -200, +200) that an endpoint in trouble had sent. Netty's decoder takes any integer for a status. The decoder of responses now takes three digits from 100 to 599 only, also for other hosts and the store; anything else is a malformed response, after which the outcome is unknown (502).

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseDecoder.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ResponseDecoder.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /**
  * Decodes the responses of one connection, which carries one request at a time.
@@ -22,6 +23,9 @@
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
+    /** A status code, without a sign and of three digits, as RFC 9110 requires. */
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+
     private final Listener listener;
     private HttpMethod pendingMethod;
     private boolean readingHead;
@@ -99,6 +103,19 @@
         }
     }
 
+    /**
+     * Creates a response.
+     *
+     * @throws IllegalArgumentException if the status isn't a number of three digits from 100 to 599
+     */
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        if (!STATUS.matcher(statusLine[1]).matches()) {
+            throw new IllegalArgumentException("not an HTTP status: " + statusLine[1]);
+        }
+        return super.createMessage(statusLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return HttpMethod.HEAD.equals(pendingMethod) || super.isContentAlwaysEmpty(message);
