Don't take a response for whole whose connection is reset behind its end

An endpoint answered a long upload at once with a 200 without a length, sent a part of the body, ended its stream and reset the connection, with the upload unread. The caller got the part as the whole. The end of the stream was taken for the end of the response; the reset comes after it, and the system reports it to a later write only.

A response that ends with its connection now counts only if the request had been handed over to the system completely. If the request's body is of 16 KiB or more, the host waits for 50 ms and then writes an empty line, which fails if the connection was reset. This delays such responses to long uploads by 50 ms; other responses are passed on as before. A reset later than that isn't noticed.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ChannelPool.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ChannelPool.java
@@ -143,6 +143,8 @@
                 .channelFactory(sockets)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
+                // So that a reset behind the end of a response can be noticed.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
                         settings.connectTimeout().toMillis())
                 .handler(new ChannelInitializer<Channel>() {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ClientChannelHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -20,6 +21,7 @@
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Handles one connection of a {@link ChannelPool}.
@@ -45,6 +47,15 @@
     /** Maximum size of responses to other requests that are skipped before the response to a request. */
     private static final int MAX_DISCARDED_BYTES = 256 << 10;
 
+    /** Size of a request's body from which an endpoint may well answer, and end the connection, before it has read it. */
+    private static final int LONG_BODY_BYTES = 16 << 10;
+
+    /** Time in which the reset of a connection follows the end of its stream. */
+    private static final Duration RESET_DELAY = Duration.ofMillis(50);
+
+    /** An empty line, which servers ignore between requests (RFC 9112, section 2.2). */
+    private static final byte[] EMPTY_LINE = {'\r', '\n'};
+
     private final ChannelPool pool;
     private final long defaultIdleNanos;
     private final ResponseDecoder decoder;
@@ -55,6 +66,9 @@
     private boolean receivingResponse;
     private boolean keepAlive;
     private boolean mismatched;
+    private boolean endsWithConnection;
+    private boolean longBody;
+    private boolean checkingEnd;
     private boolean reusable = true;
     private int exchangeCount;
     private int informationalCount;
@@ -108,6 +122,7 @@
         exchangeCount++;
         decoder.beginExchange(request.method());
         written = false;
+        longBody = request.content().readableBytes() >= LONG_BODY_BYTES;
         receivingResponse = false;
         keepAlive = false;
         informationalCount = 0;
@@ -160,6 +175,7 @@
             return;
         }
         receivingResponse = true;
+        endsWithConnection = decoder.endsWithConnection(response);
         keepAlive = HttpUtil.isKeepAlive(response)
                 && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
         idleNanos = advertisedIdleNanos(response);
@@ -235,12 +251,50 @@
             fail(new MalformedResponseException("the response contains the start of another one"));
             return;
         }
+        if (last && endsWithConnection && !written) {
+            fail(new IOException("connection ended before the request was sent"));
+            return;
+        }
+        if (last && endsWithConnection && longBody) {
+            checkEnd(receiver, content.content());
+            return;
+        }
+        deliver(receiver, content.content(), last);
+    }
+
+    /**
+     * Waits for a reset behind the end of a response that ends with the connection. It shows that the endpoint hasn't read the
+     * request, and has given up the response. The system reports it to a later write only.
+     */
+    private void checkEnd(ExchangeListener receiver, ByteBuf content) {
+        checkingEnd = true;
+        ByteBuf bytes = content.retain();
+        context.executor()
+                .schedule(
+                        () -> context.pipeline()
+                                .firstContext()
+                                .writeAndFlush(Unpooled.wrappedBuffer(EMPTY_LINE))
+                                .addListener((ChannelFuture probe) -> {
+                                    if (listener != receiver) {
+                                        bytes.release();
+                                    } else if (probe.isSuccess()) {
+                                        deliver(receiver, bytes, true);
+                                        bytes.release();
+                                    } else {
+                                        bytes.release();
+                                        fail(probe.cause());
+                                    }
+                                }),
+                        RESET_DELAY.toMillis(),
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void deliver(ExchangeListener receiver, ByteBuf bytes, boolean last) {
         if (last) {
             receivingResponse = false;
             listener = null;
             decoder.endExchange();
         }
-        ByteBuf bytes = content.content();
         receiver.onData(bytes.isReadable() ? bytes.retain() : Unpooled.EMPTY_BUFFER, last);
         if (last) {
             endExchange();
@@ -299,6 +353,14 @@
         }
     }
 
+    /** Closes the connection when the endpoint has ended its stream, unless that is still being checked. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof ChannelInputShutdownEvent && !checkingEnd) {
+            ctx.close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         fail(new ClosedChannelException());
