Grow bodies of unknown length by a part of their size

480 callers with bodies in chunks of one byte ended the process: each chunk took a block of its own, until the heap was full. A body whose length isn't known now grows by an eighth of its size, by 256 bytes to 64 KiB at a time.

RequestBodyTest covers the number of blocks.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestBody.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestBody.java
@@ -16,14 +16,26 @@
     /** Maximum size of a block. */
     private static final int BLOCK_BYTES = 64 << 10;
 
+    /** Minimum size of a block of a body whose length isn't known. */
+    private static final int MIN_BLOCK_BYTES = 256;
+
+    /** A body whose length isn't known grows by one of so many parts of its size. */
+    private static final int GROWTH_PARTS = 8;
+
     private final BodyBudget budget;
+    private final long announced;
     private long granted;
 
-    /** Creates an empty body, for which {@code budget} has granted {@code granted} bytes. */
-    RequestBody(ByteBufAllocator allocator, BodyBudget budget, long granted) {
+    /**
+     * Creates an empty body.
+     *
+     * @param announced length that {@code budget} has granted, or 0 if it isn't known
+     */
+    RequestBody(ByteBufAllocator allocator, BodyBudget budget, long announced) {
         super(allocator, true, Integer.MAX_VALUE);
         this.budget = budget;
-        this.granted = granted;
+        this.announced = announced;
+        this.granted = announced;
     }
 
     /** Appends {@code bytes}, or returns false if the budget doesn't grant them. */
@@ -36,12 +48,17 @@
             granted = size;
         }
         while (writableBytes() < bytes.readableBytes()) {
-            capacity((int) Math.min(granted, (long) capacity() + BLOCK_BYTES));
+            capacity(announced > 0 ? (int) Math.min(announced, (long) capacity() + BLOCK_BYTES) : nextCapacity());
         }
         writeBytes(bytes);
         return true;
     }
 
+    /** Grows by a part of the size, so that a body of many small chunks has few blocks. */
+    private int nextCapacity() {
+        return capacity() + Math.max(MIN_BLOCK_BYTES, Math.min(BLOCK_BYTES, capacity() / GROWTH_PARTS));
+    }
+
     /** Returns the size that the budget has granted. */
     long granted() {
         return granted;
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/http/RequestBodyTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/http/RequestBodyTest.java
@@ -32,6 +32,18 @@
         assertThat(budget.total()).isZero();
     }
 
+    /** Each chunk of a byte took a block of its own, until the heap was full. */
+    @Test
+    void takesFewBlocksForManySmallChunks() {
+        RequestBody body = body(0);
+        for (int i = 0; i < 100_000; i++) {
+            assertThat(body.append(Unpooled.wrappedBuffer(new byte[1]))).isTrue();
+        }
+        assertThat(body.numComponents()).isLessThan(100);
+        assertThat(body.capacity()).isLessThan(100_000 * 9 / 8 + 1);
+        body.release();
+    }
+
     @Test
     void takesNoMoreMemoryThanAnnouncedForAShortBody() {
         RequestBody body = body(500);
