Close a connection whose request is handled out of memory

A request whose handling ended with an OutOfMemoryError was never answered, and its connection stayed open: only runtime exceptions closed it. Errors do so too now.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ReadRequest.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ReadRequest.java
@@ -45,7 +45,7 @@
     private void prepare() {
         try {
             prepared = handler.prepare(inbound);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             inbound.body().release();
             throw e;
         }
@@ -80,7 +80,7 @@
     private void closeOnFailure(Runnable action) {
         try {
             action.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             // Nothing else would end the request. The event loop logs the failure.
             channel.close();
             throw e;
