--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallDialect.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallDialect.java
@@ -8,6 +8,9 @@
 /** Translates between the types of this package and the headers of callers and endpoints. Thread-safe. */
 public interface CallDialect {
 
+    /** Returns the caller's id of a request, or an empty string if there is none. */
+    String requestId(HttpRequest request);
+
     /**
      * Parses the headers of a caller's request.
      *
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/call/CallService.java
@@ -202,14 +202,14 @@
     }
 
     private void refuseWithoutBody(InboundRequest request, boolean forwarded) {
-        Optional<String> id = Optional.empty();
-        try {
-            id = Optional.of(admission.readHead(request.head()).id());
-            throw new CallRefusedException(
-                    ErrorKind.OVERLOADED, MEMORY_RETRY_AFTER, "no memory is left for the body of the request");
-        } catch (CallRefusedException e) {
-            refuse(request, id, e, forwarded);
-        }
+        refuse(
+                request,
+                Optional.of(context.dialect().requestId(request.head())),
+                new CallRefusedException(
+                        ErrorKind.OVERLOADED,
+                        MEMORY_RETRY_AFTER,
+                        "no memory is left for the body or the long head of the request"),
+                forwarded);
     }
 
     private void refuse(InboundRequest request, Optional<String> id, CallRefusedException e, boolean forwarded) {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/SegmentAnnouncements.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/gossip/SegmentAnnouncements.java
@@ -30,6 +30,12 @@
      */
     private static final int RETAINED_ROUNDS = 12;
 
+    /**
+     * Maximum number of segments that are kept; more than are announced while they are retained. Beyond it the segments of
+     * further prompts aren't announced, and other hosts learn of them from requests of their own.
+     */
+    static final int MAX_SEGMENTS = 2_048;
+
     private final Map<Announcement, Integer> roundsByAnnouncement = new LinkedHashMap<>();
 
     /** Adds all segments of a prompt except the last, which other requests do not share. */
@@ -41,6 +47,7 @@
     void add(int endpoint, List<PromptSegment> segments) {
         segments.stream()
                 .filter(segment -> segment.tokens() >= MIN_TOKENS)
+                .limit(MAX_SEGMENTS - roundsByAnnouncement.size())
                 .forEach(segment -> roundsByAnnouncement.putIfAbsent(new Announcement(endpoint, segment), 0));
     }
 
@@ -57,6 +64,11 @@
         return segments;
     }
 
+    /** Returns the number of segments that are kept. */
+    int size() {
+        return roundsByAnnouncement.size();
+    }
+
     /** Completes a round. */
     void nextRound() {
         roundsByAnnouncement.replaceAll((entry, rounds) -> rounds + 1);
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/call/AttemptTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/call/AttemptTest.java
@@ -183,6 +183,11 @@
     /** Reads each response as a sealed one of an endpoint, with a fixed time after which to retry. */
     private static final class Dialect implements CallDialect {
 
+        @Override
+        public String requestId(HttpRequest request) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public CallHead readRequest(HttpRequest request) {
             throw new UnsupportedOperationException();
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/SegmentAnnouncementsTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/gossip/SegmentAnnouncementsTest.java
@@ -24,6 +24,15 @@
         assertThat(announcements.pending(tag -> true)).isEmpty();
     }
 
+    /** Callers that name a thousand new segments with each request made the map grow without a bound. */
+    @Test
+    void keepsABoundedNumberOfSegments() {
+        for (int i = 0; i < 2 * SegmentAnnouncements.MAX_SEGMENTS; i++) {
+            announcements.add(1, List.of(new PromptSegment("new-" + i, 600)));
+        }
+        assertThat(announcements.size()).isEqualTo(SegmentAnnouncements.MAX_SEGMENTS);
+    }
+
     @Test
     void announcesARepeatedSegmentAgainOnlyAfterTheRetentionRounds() {
         announcements.add(1, List.of(LONG));
