Bound what crowds of connections take: event loop, channels, unread input and long heads

Callers got 503 ("may have waited") or nothing beside callers that send without a pause: requests ahead with long prompts, trailers, chunks of one byte, bodies, silent connections and incomplete heads. Causes, each seen in stacks, logs or counts of BusyCrowdTest's processes:

- Each read of requests sent ahead was decoded whole, and the buffers that stayed behind used up the direct memory; then each allocation blocked the event loop for half a second.
- One connection could keep the event loop for any number of expensive bytes.
Trailers are dropped without being stored.
- Unread input of up to 4 MB a connection was held by the system, where it counts as the process's memory, and made closing slow.
Connections of callers have a window of 64 KiB, those of other hosts 1 MiB.
- Requests in progress with a thousand prompt parts took twelve times their head's size.
- limits.maxFds wasn't read.
- The age of new connections was overestimated by seconds while more came than were accepted in a row.
More are accepted.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/EdgeHost.java
@@ -38,6 +38,7 @@
 import org.toucanlane.edge.state.StoreMirror;
 import org.toucanlane.edge.telemetry.CallMetrics;
 import org.toucanlane.edge.telemetry.DecisionLog;
+import org.toucanlane.policy.admission.ChannelLimit;
 import org.toucanlane.policy.overload.LoopClock;
 import org.toucanlane.policy.overload.SilenceAllowance;
 import org.toucanlane.policy.quarantine.SegmentQuarantine;
@@ -110,7 +111,7 @@
     private final LoopMonitor loopMonitor;
     private final RequestIntake intake;
     private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
-    private final ServerMemory serverMemory = ServerMemory.create();
+    private final ServerMemory serverMemory;
     private HttpServer callerServer;
     private HttpServer peerServer;
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -120,12 +121,14 @@
             HostSettings settings,
             MultiThreadIoEventLoopGroup group,
             LoopClock clock,
+            ChannelLimit channels,
             DecisionLog log,
             CallDialect dialect,
             BiFunction<EventLoop, ResponseFaultListener, AsyncStore> stores,
             FleetStoreFormat documents) {
         this.settings = settings;
         this.group = group;
+        this.serverMemory = ServerMemory.create(channels);
         this.loop = group.next();
         this.log = log;
         this.loopMonitor = new LoopMonitor(clock, log, metrics);
@@ -186,8 +189,10 @@
             FleetStoreFormat documents)
             throws IOException {
         LoopClock clock = new LoopClock(System.nanoTime());
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, MeasuredIoHandler.factory(clock));
-        EdgeHost host = new EdgeHost(settings, group, clock, log, dialect, stores, documents);
+        ChannelLimit channels = ChannelLimit.of(settings.maxChannels());
+        MultiThreadIoEventLoopGroup group =
+                new MultiThreadIoEventLoopGroup(1, MeasuredIoHandler.factory(clock, channels));
+        EdgeHost host = new EdgeHost(settings, group, clock, channels, log, dialect, stores, documents);
         host.startServing();
         return host;
     }
@@ -196,7 +201,10 @@
         callerServer = listen(settings.callerAddress(), calls.callerHandler());
         InetSocketAddress peerAddress =
                 new InetSocketAddress(settings.self().address(), settings.self().hopPort());
-        peerServer = listen(peerAddress, ChangeExchange.handler(mirror::changesSince, calls.hostHandler()));
+        peerServer = listen(
+                peerAddress,
+                ChangeExchange.handler(mirror::changesSince, calls.hostHandler()),
+                HttpServer.HOST_WINDOW_BYTES);
         mirror.setPeers(new ChangeExchange(loop, gossip::watcher));
         gossip.start(limiter);
         registerGauges();
@@ -242,7 +250,11 @@
      * @throws IOException if it can't be bound
      */
     public HttpServer listen(InetSocketAddress address, RequestHandler handler) throws IOException {
-        HttpServer server = HttpServer.bind(address, group, handler, serverMemory, intake);
+        return listen(address, handler, HttpServer.CALLER_WINDOW_BYTES);
+    }
+
+    private HttpServer listen(InetSocketAddress address, RequestHandler handler, int windowBytes) throws IOException {
+        HttpServer server = HttpServer.bind(address, group, handler, serverMemory, intake, windowBytes);
         servers.add(server);
         return server;
     }
@@ -327,6 +339,12 @@
                 "reason",
                 "heads",
                 () -> servers.stream().mapToLong(HttpServer::headsClosed).sum());
+        metrics.registerCounter(
+                "toucanlane.connections.closed",
+                "reason",
+                "sent_ahead",
+                () -> servers.stream().mapToLong(HttpServer::sentAheadClosed).sum());
+        metrics.registerCounter("toucanlane.connections.closed", "reason", "too_many", serverMemory::connectionsClosed);
         metrics.registerGauge(
                 "toucanlane.connections.busy",
                 "connections of callers and hosts with a request",
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostSettings.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/HostSettings.java
@@ -15,6 +15,7 @@
  * @param gracePeriod time between the stop signal and the end of the process
  * @param retryRatio retries per request that all hosts together may send
  * @param extraRetries additional retries per window that all hosts together may send
+ * @param maxChannels number of channels that the process may have open
  */
 public record HostSettings(
         HostRecord self,
@@ -23,7 +24,8 @@
         Duration keyRevocationTime,
         Duration gracePeriod,
         double retryRatio,
-        int extraRetries) {
+        int extraRetries,
+        int maxChannels) {
 
     /** Copies {@code regionOfDataCentre}. */
     public HostSettings {
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/host/MeasuredIoHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/host/MeasuredIoHandler.java
@@ -14,10 +14,12 @@
 import java.io.IOException;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.spi.SelectorProvider;
+import org.toucanlane.policy.admission.ChannelLimit;
 import org.toucanlane.policy.overload.LoopClock;
 
 /**
- * The input and output of an event loop, whose passes a {@link LoopClock} measures.
+ * The input and output of an event loop, whose passes a {@link LoopClock} measures, and whose channels a {@link ChannelLimit}
+ * counts.
  *
  * <p>Invariant: each look for input is recorded before it is made, and its first input before any of it is read. Confined
  * to the event loop, except for what {@link IoHandler} calls from elsewhere.
@@ -25,18 +27,20 @@
 final class MeasuredIoHandler implements IoHandler {
 
     private final LoopClock clock;
+    private final ChannelLimit channels;
     private final IoHandler delegate;
     private IoHandlerContext context;
 
-    private MeasuredIoHandler(ThreadAwareExecutor executor, LoopClock clock) {
+    private MeasuredIoHandler(ThreadAwareExecutor executor, LoopClock clock, ChannelLimit channels) {
         this.clock = clock;
+        this.channels = channels;
         this.delegate = NioIoHandler.newFactory(SelectorProvider.provider(), () -> this::look)
                 .newHandler(executor);
     }
 
-    /** Returns a factory for the handler of the one event loop that {@code clock} measures. */
-    static IoHandlerFactory factory(LoopClock clock) {
-        return executor -> new MeasuredIoHandler(executor, clock);
+    /** Returns a factory for the handler of the one event loop that {@code clock} measures, whose channels are counted. */
+    static IoHandlerFactory factory(LoopClock clock, ChannelLimit channels) {
+        return executor -> new MeasuredIoHandler(executor, clock, channels);
     }
 
     private int look(IntSupplier selectNow, boolean hasTasks) throws Exception {
@@ -63,7 +67,10 @@
 
     @Override
     public IoRegistration register(IoHandle handle) throws Exception {
-        return delegate.register(handle instanceof NioIoHandle channel ? new MeasuredHandle(channel) : handle);
+        IoRegistration registration =
+                delegate.register(handle instanceof NioIoHandle channel ? new MeasuredHandle(channel) : handle);
+        channels.opened();
+        return registration;
     }
 
     @Override
@@ -120,6 +127,7 @@
 
         @Override
         public void unregistered() {
+            channels.closed();
             channel.unregistered();
         }
 
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/DiscardedTrailers.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/DiscardedTrailers.java
@@ -5,8 +5,7 @@
 import io.netty.handler.codec.http.HttpHeadersFactory;
 
 /**
- * The fields behind a chunked body. They are validated, counted by the decoder against the limit on the size of a head, and
- * not kept: no request is forwarded with trailers, and a short field takes many times its length in memory.
+ * The fields behind a chunked body. They are counted by the decoder against the limit on the size of a head, and not kept: no request is forwarded with trailers, and a short field takes many times its length in memory.
  *
  * <p>Used on one event loop only.
  */
@@ -29,8 +28,7 @@
 
     @Override
     public HttpHeaders add(CharSequence name, Object value) {
-        super.add(name, value);
-        return clear();
+        return this;
     }
 
     @Override
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/HttpServer.java
@@ -9,11 +9,12 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -21,9 +22,11 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.toucanlane.domain.serving.CallerLimits;
 import org.toucanlane.edge.schedule.AlignedSchedule;
 import org.toucanlane.policy.admission.BodyBudget;
+import org.toucanlane.policy.admission.LongHeadBudget;
 import org.toucanlane.policy.overload.AcceptClock;
 
 /**
@@ -40,15 +43,30 @@
     /** Maximum length of the request line. No route has a longer path. */
     private static final int MAX_LINE_BYTES = 8 << 10;
 
-    /** Accept backlog. It absorbs the burst of reconnecting callers after a host restarts. */
-    private static final int BACKLOG = 1024;
+    /** Maximum accept backlog. It absorbs the burst of reconnecting callers after a host restarts. */
+    private static final int MAX_BACKLOG = 1024;
 
-    /** Connections that Netty accepts before those that are open get their turn. */
-    private static final int MAX_ACCEPTS_IN_A_ROW = 16;
+    /** Bytes of a caller's connection that the system takes before they are read, which count as memory of the process. */
+    public static final int CALLER_WINDOW_BYTES = 64 << 10;
+
+    /** The same for connections of other hosts, some of which are far away. */
+    public static final int HOST_WINDOW_BYTES = 1 << 20;
+
+    /** Maximum number of connections that are accepted before those that are open get their turn. */
+    private static final int MAX_ACCEPTS_IN_A_ROW = 256;
+
+    /** Parts of the channels, of which one may be accepted in a row: closed ones keep their descriptors until the next pass. */
+    private static final int ACCEPT_PARTS = 7;
 
     /** Reads from one connection before other connections get their turn. */
     private static final int MAX_READS_IN_A_ROW = 16;
 
+    /** Size of a buffer for one read; it stays with a connection while it holds bytes that aren't decoded. */
+    private static final int MIN_READ_BYTES = 64;
+
+    private static final int FIRST_READ_BYTES = 2 << 10;
+    private static final int MAX_READ_BYTES = 16 << 10;
+
     /** Limits on the unsent bytes of one response. Above the high mark the source is paused. */
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 << 10, 128 << 10);
 
@@ -58,7 +76,10 @@
     private final RequestHandler handler;
     private final ServerMemory memory;
     private final RequestIntake intake;
-    private final AcceptClock acceptClock = new AcceptClock(MAX_ACCEPTS_IN_A_ROW, BACKLOG);
+    private final int backlog;
+    private final int acceptsInARow;
+    private final AcceptClock acceptClock;
+    private final RequestTurns turns;
     private final Set<ServerChannelHandler> connections = new HashSet<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
     private Channel channel;
@@ -68,9 +89,15 @@
     private long bodiesRejected;
     private long unreadClosed;
     private long headsClosed;
+    private long sentAheadClosed;
 
     private HttpServer(RequestHandler handler, ServerMemory memory, RequestIntake intake) {
         this.intake = Preconditions.checkNotNull(intake, "intake");
+        this.turns = new RequestTurns(intake);
+        int channels = memory.connections().limit().maxForCallers();
+        this.backlog = Math.min(MAX_BACKLOG, channels);
+        this.acceptsInARow = Math.max(1, Math.min(MAX_ACCEPTS_IN_A_ROW, channels / ACCEPT_PARTS));
+        this.acceptClock = new AcceptClock(acceptsInARow, backlog);
         this.memory = Preconditions.checkNotNull(memory, "memory");
         this.handler = Preconditions.checkNotNull(handler, "handler");
     }
@@ -87,13 +114,14 @@
      */
     public static HttpServer bind(InetSocketAddress address, EventLoopGroup loops, RequestHandler handler)
             throws IOException {
-        return bind(address, loops, handler, ServerMemory.create(), RequestIntake.unmeasured());
+        return bind(address, loops, handler, ServerMemory.create(), RequestIntake.unmeasured(), CALLER_WINDOW_BYTES);
     }
 
     /**
      * Binds a server to {@code address}.
      *
      * @param intake intake of the one event loop of {@code loops}, or one that isn't measured
+     * @param windowBytes number of bytes that the system takes for a connection before they are read
      * @throws IOException if the address can't be bound
      */
     public static HttpServer bind(
@@ -101,14 +129,20 @@
             EventLoopGroup loops,
             RequestHandler handler,
             ServerMemory memory,
-            RequestIntake intake)
+            RequestIntake intake,
+            int windowBytes)
             throws IOException {
         HttpServer server = new HttpServer(handler, memory, intake);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_BACKLOG, server.backlog)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                // Connections inherit it.
+                .option(ChannelOption.SO_RCVBUF, windowBytes)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(server.acceptsInARow))
                 .handler(new ChannelInboundHandlerAdapter() {
                     @Override
                     public void channelReadComplete(ChannelHandlerContext listener) {
@@ -122,19 +156,21 @@
                 // Reads until nothing more has arrived, so that a close behind a request is seen with the request.
                 .childOption(
                         ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator()
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
                                 .respectMaybeMoreData(false)
                                 .maxMessagesPerRead(MAX_READS_IN_A_ROW))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel connection) {
-                        ServerChannelHandler handler = new ServerChannelHandler(server, server.waitingSince());
                         HttpDecoderConfig decoderConfig = new HttpDecoderConfig()
                                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                                 .setMaxHeaderSize(server.limits.maxHeaderBytes())
-                                .setHeadersFactory(CountedHeaders.factory(handler::onHeadField))
                                 .setTrailersFactory(DiscardedTrailers.FACTORY);
-                        connection.pipeline().addLast(new HttpServerCodec(decoderConfig), handler);
+                        ServerChannelHandler handler =
+                                new ServerChannelHandler(server, decoderConfig, server.waitingSince());
+                        connection
+                                .pipeline()
+                                .addLast(handler.decoder(), new ResponseEncoder(handler.decoder()), handler);
                     }
                 });
         ChannelFuture bindFuture = bootstrap.bind(address).awaitUninterruptibly();
@@ -156,7 +192,7 @@
      * Rejects the request whose body has been incomplete for longest among those that give way to a body of
      * {@code bytes} on {@code requester}, for which there is no memory. Returns whether there was one.
      */
-    boolean rejectOldestBody(ServerChannelHandler requester, long bytes) {
+    private boolean rejectOldestBody(ServerChannelHandler requester, long bytes) {
         long now = System.nanoTime();
         Optional<ServerChannelHandler> oldest = connections.stream()
                 .filter(connection -> connection != requester)
@@ -205,6 +241,11 @@
         return headsClosed;
     }
 
+    /** Returns the number of connections closed because of the requests that their callers had sent ahead. */
+    public long sentAheadClosed() {
+        return sentAheadClosed;
+    }
+
     /** Returns the number of connections with a request in progress or a response that has not been sent completely. */
     public long busyConnections() {
         return connections.stream().filter(ServerChannelHandler::isBusy).count();
@@ -236,18 +277,55 @@
         return acceptClock.accepted(intake.readableSince(), System.nanoTime());
     }
 
+    LongHeadBudget longHeads() {
+        return memory.longHeads();
+    }
+
     BodyBudget bodyBudget() {
         return memory.bodies();
     }
 
+    /** Repeats {@code attempt} to get memory for a body of {@code bytes} while older bodies give way to it. */
+    boolean findMemory(ServerChannelHandler requester, long bytes, BooleanSupplier attempt) {
+        boolean found = attempt.getAsBoolean();
+        while (!found && rejectOldestBody(requester, bytes)) {
+            found = attempt.getAsBoolean();
+        }
+        return found;
+    }
+
     /** Records the unsent bytes of a connection, and closes the one with the most while all have too many. */
-    void recordUnsent(ServerChannelHandler connection, long bytes) {
+    void recordUnsent(ServerChannelHandler connection, Channel itsChannel) {
+        ChannelOutboundBuffer unsent = itsChannel.unsafe().outboundBuffer();
+        recordUnsent(connection, unsent == null ? 0 : unsent.totalPendingWriteBytes());
+    }
+
+    /** Records that a connection has been closed. */
+    void forgetUnsent(ServerChannelHandler connection) {
+        recordUnsent(connection, 0);
+    }
+
+    private void recordUnsent(ServerChannelHandler connection, long bytes) {
         memory.unsent().record(connection, bytes).ifPresent(largest -> {
             unreadClosed++;
             largest.close();
         });
     }
 
+    /** Records the bytes behind a connection's request, and closes the one with the most while all have too many. */
+    void recordHeld(ServerChannelHandler connection, long bytes) {
+        memory.held().record(connection, bytes).ifPresent(largest -> {
+            sentAheadClosed++;
+            // Not at once: the connection may be decoding these bytes.
+            channel.eventLoop().execute(largest::close);
+        });
+    }
+
+    /** Returns the turns of connections with requests that were sent ahead. */
+    RequestTurns turns() {
+        return turns;
+    }
+
     /** Records the memory of a connection's heads, and closes the one with the most while all have too much. */
     void recordHeads(ServerChannelHandler connection, long bytes) {
         memory.heads().record(connection, bytes).ifPresent(largest -> {
@@ -271,9 +349,11 @@
 
     void onOpened(ServerChannelHandler connection) {
         connections.add(connection);
+        memory.connections().add(connection);
     }
 
     void onClosed(ServerChannelHandler connection) {
         connections.remove(connection);
+        memory.connections().remove(connection);
     }
 }
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerChannelHandler.java
@@ -6,11 +6,11 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -23,50 +23,31 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.function.BooleanSupplier;
 
 /**
  * Handles one connection of an {@link HttpServer}: reads complete requests and answers them in order.
  *
  * <p>Invariants: at most one request of the connection is being answered, until its response has been handed over to the
- * system; messages that arrive meanwhile are queued in {@code pending}. A request is not handled if its caller's close has
+ * system; bytes that arrive meanwhile stay in the decoder. A request is not handled if its caller's close has
  * arrived behind it. A body for which the server's {@link org.toucanlane.policy.admission.BodyBudget} has no memory is read
  * and dropped, and its request refused. Used on one event loop only.
  */
 final class ServerChannelHandler extends ChannelInboundHandlerAdapter {
 
-    /** Number of queued messages at which reading is paused: enough for a few pipelined requests. */
-    private static final int MAX_PENDING = 64;
-
-    /** Memory that a field of a head takes besides its text. */
-    private static final int FIELD_BYTES = 200;
-
-    /** Number of fields after which the memory of a connection's heads is recorded; an ordinary head has fewer. */
-    private static final int RECORDED_FIELDS = 64;
-
-    /** Size of the queued content at which reading is paused. */
-    private static final int MAX_PENDING_BYTES = 64 << 10;
-
     private final HttpServer server;
-    private final Deque<Queued> pending = new ArrayDeque<>();
+    private final RequestDecoder decoder;
+    private final HeadMemory headMemory;
     private final long openedInPass;
     private final long waitingSince;
-    private int pendingBytes;
-    private long pendingSince;
-    private boolean readingPending;
+    private int aheadBytes;
+    private long aheadSince;
+    private boolean readingAhead;
     private ChannelHandlerContext context;
     private HttpRequest head;
 
     /** Null while no request is being read, and if there is no memory for the body of {@code head}. */
     private ByteBuf body;
 
-    /** Fields of the heads that this connection has read and not answered yet, and those of the request in progress. */
-    private int headFields;
-
-    private int activeFields;
     private long bodyBytes;
     private long bodyBegunAt;
     private ChannelResponder activeResponder;
@@ -77,14 +58,23 @@
     /**
      * Creates a handler.
      *
+     * @param decoderConfig limits of the decoder
      * @param waitingSince time since which the connection may have been waiting to be accepted
      */
-    ServerChannelHandler(HttpServer server, long waitingSince) {
+    ServerChannelHandler(HttpServer server, HttpDecoderConfig decoderConfig, long waitingSince) {
         this.server = server;
+        this.headMemory = new HeadMemory(server, this);
+        this.decoder = new RequestDecoder(
+                decoderConfig.setHeadersFactory(CountedHeaders.factory(headMemory::onField)), this::onRead);
         this.openedInPass = server.intake().pass();
         this.waitingSince = waitingSince;
     }
 
+    /** Returns the decoder of the connection, which precedes this handler in its pipeline. */
+    RequestDecoder decoder() {
+        return decoder;
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
@@ -98,26 +88,45 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         lastActivity = System.nanoTime();
-        if (isAnswering()) {
-            pending.addLast(new Queued((HttpObject) message, readableSince()));
-            pendingBytes += bytes(message);
-            if (pending.size() >= MAX_PENDING || pendingBytes >= MAX_PENDING_BYTES) {
-                ctx.channel().config().setAutoRead(false);
-            }
-        } else {
-            read((HttpObject) message);
+        read((HttpObject) message);
+    }
+
+    /** Reads no more while a caller has sent bytes behind a request that is being answered. */
+    private void onRead() {
+        int held = decoder.heldBytes();
+        if (held > 0 && aheadBytes == 0) {
+            aheadSince = readableSince();
+        }
+        if (held != aheadBytes) {
+            aheadBytes = held;
+            context.channel().config().setAutoRead(held == 0);
+            server.recordHeld(this, held);
+        }
+        if (isExpensiveToRead()) {
+            context.channel().config().setAutoRead(false);
+            server.turns().add(this, context.channel().eventLoop());
         }
     }
 
+    /**
+     * Lets the caller's input be read again.
+     *
+     * @return time in nanoseconds that this is expected to take in the next pass of the event loop
+     */
+    long takeTurn() {
+        if (aheadBytes > 0) {
+            readNext();
+            return 0;
+        }
+        context.channel().config().setAutoRead(true);
+        return decoder.lastNanos();
+    }
+
     /** Returns whether a request is being answered, or its response hasn't been sent completely. */
     private boolean isAnswering() {
         return activeResponder != null || (lastResponseWrite != null && !lastResponseWrite.isDone());
     }
 
-    private static int bytes(Object message) {
-        return message instanceof HttpContent content ? content.content().readableBytes() : 0;
-    }
-
     private void read(HttpObject message) {
         try {
             if (discardingInput) {
@@ -157,20 +166,11 @@
         bodyBegunAt = System.nanoTime();
         if (length == 0) {
             body = Unpooled.EMPTY_BUFFER;
-        } else if (findMemory(length, () -> server.bodyBudget().resize(0, length))) {
+        } else if (server.findMemory(this, length, () -> server.bodyBudget().resize(0, length))) {
             body = new RequestBody(context.alloc(), server.bodyBudget(), length);
         }
     }
 
-    /** Repeats {@code attempt} to get memory for a body of {@code bytes} while older bodies give way to it. */
-    private boolean findMemory(long bytes, BooleanSupplier attempt) {
-        boolean found = attempt.getAsBoolean();
-        while (!found && server.rejectOldestBody(this, bytes)) {
-            found = attempt.getAsBoolean();
-        }
-        return found;
-    }
-
     /** Returns the memory that is granted to an incomplete body, or 0. */
     long heldBytes() {
         return body instanceof RequestBody incomplete ? incomplete.granted() : 0;
@@ -198,7 +198,7 @@
                 body = new RequestBody(context.alloc(), server.bodyBudget(), 0);
             }
             RequestBody current = (RequestBody) body;
-            if (!findMemory(bodyBytes, () -> current.append(bytes))) {
+            if (!server.findMemory(this, bodyBytes, () -> current.append(bytes))) {
                 body.release();
                 body = null;
             }
@@ -210,16 +210,14 @@
 
     private void dispatch() {
         HttpRequest request = head;
-        activeFields = request.headers().size();
-        boolean complete = body != null;
+        boolean complete = headMemory.begin(request) && body != null;
         ByteBuf fullBody = complete ? body : Unpooled.EMPTY_BUFFER;
-        head = null;
-        body = null;
+        body = complete ? null : body;
+        releaseBody();
         activeResponder = new ChannelResponder(HttpUtil.isKeepAlive(request));
         long receivedAt = server.intake().receivedAt(readableSince());
         InboundRequest inbound = new InboundRequest(request, fullBody, activeResponder, receivedAt);
-        // Runs after the read loop, which reads up to the end of what has arrived and so notices a caller that has
-        // left.
+        // Runs after the read loop, which notices a caller that has left behind the request.
         server.intake()
                 .accept(
                         context.channel().eventLoop(),
@@ -231,8 +229,8 @@
      * while it waited to be accepted.
      */
     private long readableSince() {
-        if (readingPending) {
-            return pendingSince;
+        if (readingAhead) {
+            return aheadSince;
         }
         return server.intake().isNextPassWithoutIdling(openedInPass)
                 ? waitingSince
@@ -242,12 +240,7 @@
     private void reject(ServerRejection.Reason reason) {
         discardingInput = true;
         releaseBody();
-        ServerRejection rejection = server.handler().rejectionFor(reason);
-        ByteBuf content = Unpooled.copiedBuffer(rejection.body(), StandardCharsets.UTF_8);
-        FullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(rejection.status()), content);
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        FullHttpResponse response = server.handler().rejectionFor(reason).response();
         lastResponseWrite = context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
 
@@ -257,62 +250,47 @@
         head = null;
     }
 
-    /** Counts a field of a head. Short heads aren't recorded. */
-    void onHeadField() {
-        if (++headFields % RECORDED_FIELDS == 0) {
-            server.recordHeads(this, (long) headFields * FIELD_BYTES);
-        }
-    }
-
-    private void forgetHead() {
-        headFields -= activeFields;
-        if (headFields + activeFields >= RECORDED_FIELDS) {
-            server.recordHeads(this, (long) headFields * FIELD_BYTES);
-        }
-        activeFields = 0;
-    }
-
     private void onResponseEnded(boolean keepOpen) {
         activeResponder = null;
-        forgetHead();
+        headMemory.end();
         lastActivity = System.nanoTime();
         if (!keepOpen) {
             discardingInput = true;
             return;
         }
-        readPending();
+        awaitNext();
+    }
+
+    /** Lets the decoder go on with the next request, in turns with other connections if it has been sent already. */
+    private void awaitNext() {
+        if (isAnswering() || discardingInput) {
+            return;
+        }
+        if (aheadBytes > 0) {
+            server.turns().add(this, context.channel().eventLoop());
+        } else {
+            readNext();
+        }
     }
 
-    private void readPending() {
-        readingPending = true;
+    private void readNext() {
+        readingAhead = aheadBytes > 0;
         try {
-            while (!isAnswering() && !pending.isEmpty()) {
-                Queued next = pending.pollFirst();
-                pendingSince = next.since();
-                pendingBytes -= bytes(next.message());
-                read(next.message());
-            }
+            decoder.resume();
         } finally {
-            readingPending = false;
-        }
-        if (pending.isEmpty() && !context.channel().config().isAutoRead()) {
-            context.channel().config().setAutoRead(true);
+            readingAhead = false;
+            onRead();
         }
     }
 
     private void onResponseSent() {
-        recordUnsent();
+        server.recordUnsent(this, context.channel());
         if (context.channel().isActive()) {
             lastActivity = System.nanoTime();
-            readPending();
+            awaitNext();
         }
     }
 
-    private void recordUnsent() {
-        ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
-        server.recordUnsent(this, unsent == null ? 0 : unsent.totalPendingWriteBytes());
-    }
-
     /** Closes the connection if it has been idle, or has not completed a request, for too long. */
     void closeIfExpired(long now) {
         boolean readingBody = head != null;
@@ -327,6 +305,30 @@
         }
     }
 
+    /** Returns whether a request is being handled. */
+    boolean isHandling() {
+        return activeResponder != null;
+    }
+
+    /** Returns whether the caller sends ahead, or sends what is expensive to read. */
+    boolean isGreedy() {
+        return aheadBytes > 0 || isExpensiveToRead();
+    }
+
+    private boolean isExpensiveToRead() {
+        return head != null && decoder.isExpensive();
+    }
+
+    /** Returns whether a request of this connection has been answered. */
+    boolean hasServed() {
+        return lastResponseWrite != null;
+    }
+
+    /** Returns the time in nanoseconds since the last part of a request or the end of the last response. */
+    long inactiveNanos(long now) {
+        return now - lastActivity;
+    }
+
     boolean isBusy() {
         return isAnswering() || head != null;
     }
@@ -350,11 +352,11 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         server.onClosed(this);
-        server.recordUnsent(this, 0);
-        server.recordHeads(this, 0);
+        server.forgetUnsent(this);
+        headMemory.close();
         releaseBody();
-        pending.forEach(queued -> ReferenceCountUtil.release(queued.message()));
-        pending.clear();
+        server.recordHeld(this, 0);
+        server.turns().remove(this);
         ChannelResponder responder = activeResponder;
         activeResponder = null;
         if (responder != null) {
@@ -364,7 +366,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        recordUnsent();
+        server.recordUnsent(this, context.channel());
         if (activeResponder != null && activeResponder.listener != null) {
             activeResponder.listener.onWritabilityChanged(ctx.channel().isWritable());
         }
@@ -375,9 +377,6 @@
         ctx.close();
     }
 
-    /** A message behind a request that is being answered, and since when it may have been waiting. */
-    private record Queued(HttpObject message, long since) {}
-
     /** Writes the response to one request. */
     private final class ChannelResponder implements Responder {
 
@@ -455,7 +454,7 @@
             }
             onResponseEnded(!closeAfter);
             if (!writeFuture.isDone()) {
-                recordUnsent();
+                server.recordUnsent(ServerChannelHandler.this, context.channel());
                 writeFuture.addListener(sent -> onResponseSent());
             }
         }
@@ -476,8 +475,9 @@
 
         @Override
         public String callerAddress() {
-            InetSocketAddress caller = (InetSocketAddress) context.channel().remoteAddress();
-            return caller.getAddress().getHostAddress();
+            return ((InetSocketAddress) context.channel().remoteAddress())
+                    .getAddress()
+                    .getHostAddress();
         }
 
         @Override
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerRejection.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerRejection.java
@@ -1,7 +1,16 @@
 package org.toucanlane.edge.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import java.nio.charset.StandardCharsets;
 
 /**
  * The response to input that could not be read as a request.
@@ -11,6 +20,16 @@
  */
 public record ServerRejection(int status, String body) {
 
+    /** Returns the response, after which the connection is closed. */
+    FullHttpResponse response() {
+        ByteBuf content = Unpooled.copiedBuffer(body, StandardCharsets.UTF_8);
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        return response;
+    }
+
     /** The reason why a request could not be read. */
     public enum Reason {
         /** The input is not valid HTTP. */
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/http/HttpServerTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/http/HttpServerTest.java
@@ -68,6 +68,18 @@
         }
     }
 
+    /** A request that was handled out of memory was never answered, and its connection stayed open. */
+    @Test
+    void closesAConnectionWhoseRequestIsHandledOutOfMemory() throws Exception {
+        bind(request -> {
+            throw new OutOfMemoryError("no heap");
+        });
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
     /** Long bodies filled the memory, so that nothing was answered: see docs/incidents/0016. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
