Take at least one turn in each slice

A connection that sends ahead, or whose body is expensive to decode, wasn't read while eight requests or more waited for the event loop: on a host that is late for long, a legal upload would have stood still until its connection expired. One turn is now taken in each slice, however late the loop is. HttpServerTest.answersRequestsThatWereSentAheadInOrder covers 300 requests that are sent ahead; there was no such test.

--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestTurns.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/RequestTurns.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -11,7 +12,8 @@
  * Lets connections go on in turns whose callers send requests ahead, or requests that are expensive to decode, so that they
  * take a part of the event loop's time only while others have requests too.
  *
- * <p>Invariant: between two slices the event loop reads all connections. Confined to the event loop.
+ * <p>Invariants: between two slices the event loop reads all connections; at least one turn is taken in each slice, in order
+ * of arrival. Confined to the event loop.
  */
 final class RequestTurns {
 
@@ -47,15 +49,24 @@
 
     private void beginSlice(EventLoop loop) {
         scheduled = false;
-        takeTurn(loop, new ArrayDeque<>(waiting), System.nanoTime() + SLICE_NANOS);
+        Deque<ServerChannelHandler> turns = new ArrayDeque<>(waiting);
+        long end = System.nanoTime() + SLICE_NANOS;
+        // One turn is taken however late the loop is, so that each connection goes on at some time.
+        takeTurn(loop, turns, end);
     }
 
-    private void takeTurn(EventLoop loop, ArrayDeque<ServerChannelHandler> turns, long end) {
+    private void takeTurn(EventLoop loop, Deque<ServerChannelHandler> turns, long end) {
         ServerChannelHandler next = turns.pollFirst();
-        if (next != null && System.nanoTime() - end < 0 && intake.waiting() < MAX_UNHANDLED) {
+        if (next != null) {
             long later = waiting.remove(next) ? next.takeTurn() : 0;
             // Behind the tasks that handle the request, so that their time counts.
-            loop.execute(() -> takeTurn(loop, turns, end - later));
+            loop.execute(() -> continueSlice(loop, turns, end - later));
+        }
+    }
+
+    private void continueSlice(EventLoop loop, Deque<ServerChannelHandler> turns, long end) {
+        if (!turns.isEmpty() && System.nanoTime() - end < 0 && intake.waiting() < MAX_UNHANDLED) {
+            takeTurn(loop, turns, end);
         } else if (!waiting.isEmpty() && !scheduled) {
             scheduled = true;
             loop.schedule(() -> beginSlice(loop), 0, TimeUnit.NANOSECONDS);
--- a/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerConnections.java
+++ b/toucanlane-edge/src/main/java/org/toucanlane/edge/http/ServerConnections.java
@@ -11,8 +11,8 @@
 /**
  * The connections of all servers of a process.
  *
- * <p>Invariant: after {@link #add} the limit on channels is kept. A connection with a request in progress is closed only if its
- * caller takes more than its share. Confined to the event loop.
+ * <p>Invariant: for each connection that is added beyond the limit on channels one is closed, which may be itself. A connection
+ * with a request in progress is closed only if its caller takes more than its share. Confined to the event loop.
  */
 final class ServerConnections {
 
--- a/toucanlane-edge/src/test/java/org/toucanlane/edge/http/HttpServerTest.java
+++ b/toucanlane-edge/src/test/java/org/toucanlane/edge/http/HttpServerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -68,6 +69,30 @@
         }
     }
 
+    @Test
+    void answersRequestsThatWereSentAheadInOrder() throws Exception {
+        bind(request -> {
+            ByteBuf body = request.body();
+            request.responder().respond(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, body));
+        });
+        try (Socket socket = connect()) {
+            StringBuilder requests = new StringBuilder();
+            StringBuilder bodies = new StringBuilder();
+            for (int i = 100; i < 400; i++) {
+                requests.append("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n")
+                        .append(i);
+                bodies.append(i);
+            }
+            socket.getOutputStream().write(requests.toString().getBytes(StandardCharsets.US_ASCII));
+            StringBuilder received = new StringBuilder();
+            while (received.length() < bodies.length()) {
+                assertThat(readHead(socket)).startsWith("HTTP/1.1 200");
+                received.append(new String(socket.getInputStream().readNBytes(3), StandardCharsets.US_ASCII));
+            }
+            assertThat(received).hasToString(bodies.toString());
+        }
+    }
+
     /** A request that was handled out of memory was never answered, and its connection stayed open. */
     @Test
     void closesAConnectionWhoseRequestIsHandledOutOfMemory() throws Exception {
